Set the shape down: messages, decisions, filters, tasks, ports

Change: slotted messages; pure decisions; generator filters joined in one place; tasks with mailboxes that run their waiting letters as one stream; abstract base classes for what varies; YAML documents whose findings know their place.

--- /dev/null
+++ b/src/currantspur/pipelines/filter.py
@@ -0,0 +1,52 @@
+"""Define filters and the pipeline that joins them."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterable, Iterator
+from typing import Any, Generic, TypeVar
+
+from currantspur.messages import Passage, Refusal
+
+Taken = TypeVar('Taken')
+Given = TypeVar('Given')
+
+
+class Filter(ABC, Generic[Taken, Given]):
+    """Turn one stream of messages into another."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def run(self, stream: Iterable[Taken]) -> Iterator[Given]:
+        """Yield what comes of each message of the stream."""
+
+
+class Gate(Filter[Passage, Passage]):
+    """Judge passages; those already refused go by untouched."""
+
+    __slots__ = ()
+
+    def run(self, stream: Iterable[Passage]) -> Iterator[Passage]:
+        """Yield every passage, judged."""
+        for passage in stream:
+            if passage.refusal is None:
+                passage.refusal = self.judge(passage)
+            yield passage
+
+    @abstractmethod
+    def judge(self, passage: Passage) -> Refusal | None:
+        """Note what was found on the passage, or refuse it."""
+
+
+class Pipeline:
+    """Join filters so that each reads what the one before it yields."""
+
+    __slots__ = ('filters',)
+
+    def __init__(self, *filters: Filter[Any, Any]) -> None:
+        self.filters = filters
+
+    def run(self, stream: Iterable[Any]) -> Iterator[Any]:
+        """Return the stream that leaves the last filter."""
+        for each in self.filters:
+            stream = each.run(stream)
+        return iter(stream)
--- /dev/null
+++ b/src/currantspur/platform/__init__.py
@@ -0,0 +1,25 @@
+"""Reach the platform through abstract ports."""
+
+from currantspur.platform.ports import (
+    ABSENT,
+    InstanceList,
+    ObjectStore,
+    Platform,
+    Row,
+    Table,
+    Transaction,
+)
+from currantspur.platform.versions import publish, read_head, read_section
+
+__all__ = (
+    'ABSENT',
+    'InstanceList',
+    'ObjectStore',
+    'Platform',
+    'Row',
+    'Table',
+    'Transaction',
+    'publish',
+    'read_head',
+    'read_section',
+)
--- /dev/null
+++ b/src/currantspur/settings/__init__.py
@@ -0,0 +1,21 @@
+"""Read and check what operators write."""
+
+from currantspur.settings.configuration import (
+    print_configuration,
+    read_configuration,
+    to_plain,
+)
+from currantspur.settings.daemon import DaemonSettings, read_daemon_settings
+from currantspur.settings.document import is_address, split_address
+from currantspur.settings.findings import Finding
+
+__all__ = (
+    'DaemonSettings',
+    'Finding',
+    'is_address',
+    'print_configuration',
+    'read_configuration',
+    'read_daemon_settings',
+    'split_address',
+    'to_plain',
+)
--- /dev/null
+++ b/src/currantspur/settings/daemon.py
@@ -0,0 +1,82 @@
+"""Read the settings of one entry daemon."""
+
+from currantspur.messages.base import Message
+from currantspur.settings.document import Cursor, Document
+
+FRESHNESS_S = 1.5
+POLL_S = 0.4
+LEAVE_S = 30.0
+SHORTEST_S = 0.01
+LONGEST_S = 3600.0
+
+
+class DaemonSettings(Message):
+    """Tell a daemon who it is, where it listens and where the platform is."""
+
+    __slots__ = (
+        'admin',
+        'availability_zone',
+        'collector',
+        'freshness_s',
+        'instance',
+        'leave_s',
+        'listen',
+        'peer',
+        'platform',
+        'poll_s',
+    )
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        availability_zone: str,
+        listen: str,
+        peer: str,
+        admin: str,
+        platform: str,
+        collector: str | None = None,
+        freshness_s: float = FRESHNESS_S,
+        poll_s: float = POLL_S,
+        leave_s: float = LEAVE_S,
+    ) -> None:
+        """Take addresses as IP numbers with ports and times in seconds."""
+        self.instance = instance
+        self.availability_zone = availability_zone
+        self.listen = listen
+        self.peer = peer
+        self.admin = admin
+        self.platform = platform
+        self.collector = collector
+        self.freshness_s = freshness_s
+        self.poll_s = poll_s
+        self.leave_s = leave_s
+
+
+def read_daemon_settings(text: str, *, file: str) -> DaemonSettings:
+    """Parse daemon settings; raise SettingsError with all findings."""
+    document = Document(text, file=file)
+    root = document.root
+    settings = DaemonSettings(
+        instance=root.text('instance'),
+        availability_zone=root.text('availability_zone'),
+        listen=root.address('listen'),
+        peer=root.address('peer'),
+        admin=root.address('admin'),
+        platform=root.address('platform'),
+        collector=_read_collector(root),
+        freshness_s=root.number(
+            'freshness_s', FRESHNESS_S, low=0.1, high=LONGEST_S
+        ),
+        poll_s=root.number('poll_s', POLL_S, low=SHORTEST_S, high=LONGEST_S),
+        leave_s=root.number('leave_s', LEAVE_S, high=LONGEST_S),
+    )
+    root.finish()
+    document.close()
+    return settings
+
+
+def _read_collector(root: Cursor) -> str | None:
+    if root.child('collector').absent:
+        return None
+    return root.address('collector')
--- /dev/null
+++ b/src/currantspur/settings/document.py
@@ -0,0 +1,267 @@
+"""Read YAML as nodes that know their place and collect findings."""
+
+import math
+from collections.abc import Collection, Iterator
+from ipaddress import IPv4Network, IPv6Network, ip_address, ip_network
+from typing import TypeVar
+
+import yaml
+
+from currantspur.errors import SettingsError
+from currantspur.settings.findings import Finding
+
+_Plain = TypeVar('_Plain', str, float)
+
+SIZE_LIMIT_BYTES = 67_108_864
+DEPTH_LIMIT = 24
+PORT_LIMIT = 65535
+_TEXT_TAG = 'tag:yaml.org,2002:str'
+_NULL_TAG = 'tag:yaml.org,2002:null'
+_BOOL_TAG = 'tag:yaml.org,2002:bool'
+_NUMBER_TAGS = frozenset(
+    (
+        'tag:yaml.org,2002:int',
+        'tag:yaml.org,2002:float',
+    )
+)
+_TRUE_WORDS = frozenset(('true', 'yes', 'on'))
+
+
+class Document:
+    """Hold a parsed file and the findings about it."""
+
+    __slots__ = ('file', 'findings', 'root')
+
+    def __init__(self, text: str, *, file: str) -> None:
+        self.file = file
+        self.findings: list[Finding] = []
+        self.root = Cursor(self, _compose(self, text), path='')
+
+    def add(self, node: yaml.Node | None, path: str, text: str) -> None:
+        """Add a finding at the place of a node."""
+        mark = node.start_mark if node else None
+        self.findings.append(
+            Finding(
+                file=self.file,
+                line=mark.line + 1 if mark else 1,
+                column=mark.column + 1 if mark else 1,
+                path=path,
+                text=text,
+            )
+        )
+
+    def close(self) -> None:
+        """Raise SettingsError with every finding, if there are any."""
+        if self.findings:
+            raise SettingsError(self.findings)
+
+
+class Cursor:
+    """Read typed values below one node; a wrong one becomes a finding."""
+
+    __slots__ = ('document', 'known', 'node', 'path')
+
+    def __init__(
+        self, document: Document, node: yaml.Node | None, *, path: str
+    ) -> None:
+        self.document = document
+        self.node = node
+        self.path = path
+        self.known: set[str] = set()
+
+    def blame(self, text: str) -> None:
+        """Add a finding at this place."""
+        self.document.add(self.node, self.path, text)
+
+    def child(self, name: str) -> 'Cursor':
+        """Return the value under a name; a missing one has no node."""
+        self.known.add(name)
+        path = f'{self.path}.{name}' if self.path else name
+        for key, node in self._pairs():
+            if key.value == name:
+                return Cursor(self.document, node, path=path)
+        return Cursor(self.document, None, path=path)
+
+    def names(self) -> list[str]:
+        """List the names of a mapping."""
+        return [str(key.value) for key, _ in self._pairs()]
+
+    def each(self, name: str) -> Iterator['Cursor']:
+        """Yield the members of the list under a name."""
+        member = self.child(name)
+        if member.absent:
+            return
+        if not isinstance(member.node, yaml.SequenceNode):
+            member.blame('expected a list')
+            return
+        for index, node in enumerate(member.node.value):
+            path = f'{member.path}[{index}]'
+            yield Cursor(self.document, node, path=path)
+
+    @property
+    def absent(self) -> bool:
+        """Tell whether nothing was written here."""
+        return self.node is None or self.node.tag == _NULL_TAG
+
+    def text(self, name: str, default: str | None = None) -> str:
+        """Return a text; a missing one without default is a finding."""
+        member = self.child(name)
+        if member.absent:
+            return member.missing(default, '')
+        if member.node is None or member.node.tag != _TEXT_TAG:
+            member.blame('expected a text')
+            return ''
+        return str(member.node.value)
+
+    def choice(self, name: str, choices: Collection[str], default: str) -> str:
+        """Return one of the texts named."""
+        chosen = self.text(name, default)
+        if chosen not in choices:
+            wanted = ', '.join(sorted(choices))
+            self.child(name).blame(f'expected one of {wanted}')
+            return default
+        return chosen
+
+    def number(
+        self,
+        name: str,
+        default: float | None = None,
+        *,
+        low: float = 0.0,
+        high: float = math.inf,
+    ) -> float:
+        """Return a finite number within bounds."""
+        member = self.child(name)
+        if member.absent:
+            return member.missing(default, low)
+        number = _parse_number(member.node)
+        if number is None:
+            member.blame('expected a number')
+            return low
+        if not low <= number <= high:
+            member.blame(f'expected a number from {low:g} to {high:g}')
+            return low
+        return number
+
+    def flag(self, name: str, *, default: bool) -> bool:
+        """Return true or false."""
+        member = self.child(name)
+        if member.absent or member.node is None:
+            return default
+        if member.node.tag != _BOOL_TAG:
+            member.blame('expected true or false')
+            return default
+        return str(member.node.value).lower() in _TRUE_WORDS
+
+    def address(self, name: str, default: str | None = None) -> str:
+        """Return an IP number with a port, as 127.0.0.1:8080 or [::1]:8080."""
+        text = self.text(name, default)
+        if text and not is_address(text):
+            self.child(name).blame(
+                'expected an IP number and port, such as 127.0.0.1:8080',
+            )
+        return text
+
+    def network(self, name: str) -> IPv4Network | IPv6Network:
+        """Return a prefix of IP numbers."""
+        text = self.text(name)
+        try:
+            return ip_network(text)
+        except ValueError:
+            self.child(name).blame('expected a prefix, such as 192.0.2.0/24')
+        return ip_network('0.0.0.0/0')
+
+    def missing(self, default: _Plain | None, fallback: _Plain) -> _Plain:
+        """Return the default; blame its absence."""
+        if default is None:
+            self.blame('missing')
+            return fallback
+        return default
+
+    def finish(self) -> None:
+        """Blame every name that nobody asked for, and names given twice."""
+        seen: set[str] = set()
+        for key, _ in self._pairs():
+            path = f'{self.path}.{key.value}' if self.path else str(key.value)
+            if key.value not in self.known:
+                self.document.add(key, path, 'unknown name')
+            if key.value in seen:
+                self.document.add(key, path, 'given twice')
+            seen.add(str(key.value))
+
+    def _pairs(self) -> list[tuple[yaml.Node, yaml.Node]]:
+        if isinstance(self.node, yaml.MappingNode):
+            pairs: list[tuple[yaml.Node, yaml.Node]] = self.node.value
+            return pairs
+        return []
+
+
+def is_address(text: str) -> bool:
+    """Tell whether a text is an IP number with a port."""
+    host, separator, port = text.rpartition(':')
+    if not separator or not port.isdecimal() or int(port) > PORT_LIMIT:
+        return False
+    try:
+        ip_address(host.strip('[]'))
+    except ValueError:
+        return False
+    return True
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Split an address into its IP number and port."""
+    host, _, port = text.rpartition(':')
+    return host.strip('[]'), int(port)
+
+
+def _parse_number(node: yaml.Node | None) -> float | None:
+    if node is None or node.tag not in _NUMBER_TAGS:
+        return None
+    try:
+        number = float(str(node.value).replace('_', ''))
+    except ValueError:
+        return None
+    return number if math.isfinite(number) else None
+
+
+def _compose(document: Document, text: str) -> yaml.Node | None:
+    if len(text) > SIZE_LIMIT_BYTES:
+        document.add(None, '', f'larger than {SIZE_LIMIT_BYTES} bytes')
+        return None
+    try:
+        node = yaml.compose(text, Loader=yaml.CSafeLoader)
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        _add_syntax(document, error)
+        return None
+    if not isinstance(node, yaml.MappingNode):
+        document.add(node, '', 'expected names with values')
+    elif _is_deep(node, DEPTH_LIMIT):
+        document.add(node, '', f'nested more than {DEPTH_LIMIT} levels')
+        return None
+    return node
+
+
+def _add_syntax(document: Document, error: Exception) -> None:
+    mark = getattr(error, 'problem_mark', None)
+    problem = getattr(error, 'problem', None) or str(error)
+    document.findings.append(
+        Finding(
+            file=document.file,
+            line=mark.line + 1 if mark else 1,
+            column=mark.column + 1 if mark else 1,
+            path='',
+            text=f'not YAML: {problem}',
+        )
+    )
+
+
+def _is_deep(node: yaml.Node, levels: int) -> bool:
+    if levels == 0:
+        return True
+    if isinstance(node, yaml.MappingNode):
+        children = [child for pair in node.value for child in pair]
+    elif isinstance(node, yaml.SequenceNode):
+        children = node.value
+    else:
+        return False
+    return any(_is_deep(child, levels - 1) for child in children)
