Serve one path from end to end, with stand-ins and a demonstration

Cause: everything else builds on a request that is served whole. Change: HTTP listener and carrier, platform adapter, daemon, command line, stand-ins of platform and targets, make demo over look-up, keyed and open requests, over-rate, withdrawn key, doubled submission, drain, explanation. Before: nothing ran. Conclusion: the thin path stands; limits are split by count of live instances only and are to be replaced by allotments.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the project: python -m bench."""
--- /dev/null
+++ b/src/currantspur/standins/fleet.py
@@ -0,0 +1,90 @@
+"""Run a whole fleet on loopback in one process."""
+
+import asyncio
+from contextlib import AsyncExitStack
+
+from aiohttp import web
+
+from currantspur.daemon import Daemon
+from currantspur.messages import Configuration
+from currantspur.platform import Platform, publish
+from currantspur.settings import DaemonSettings
+from currantspur.standins.platform import PlatformStandin
+from currantspur.standins.store import open_memory_platform
+from currantspur.standins.target import TargetStandin
+
+HOST = '127.0.0.1'
+SETTLE_S = 2.5
+
+
+class Fleet:
+    """Hold a platform, targets and entry instances in one process."""
+
+    __slots__ = ('daemons', 'platform', 'stack', 'targets', 'version')
+
+    def __init__(self, stack: AsyncExitStack) -> None:
+        self.stack = stack
+        self.platform: Platform = open_memory_platform()
+        self.targets: dict[str, TargetStandin] = {}
+        self.daemons: list[Daemon] = []
+        self.version = 0
+
+    async def serve(self, application: web.Application) -> str:
+        """Serve at a free port and return the address."""
+        runner = web.AppRunner(application, access_log=None)
+        await runner.setup()
+        self.stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, HOST, 0).start()
+        return f'{HOST}:{runner.addresses[0][1]}'
+
+    async def open_targets(self, names: list[str]) -> dict[str, str]:
+        """Start a stand-in for each target and return the addresses."""
+        addresses = {}
+        for name in names:
+            self.targets[name] = TargetStandin(name=name)
+            application = self.targets[name].application()
+            addresses[name] = await self.serve(application)
+        return addresses
+
+    async def open_daemons(self, zones: tuple[str, ...]) -> None:
+        """Start an entry instance in each availability zone named."""
+        address = await self.serve(
+            PlatformStandin(self.platform).application(),
+        )
+        for index, zone in enumerate(zones, start=1):
+            settings = DaemonSettings(
+                instance=f'entry-{index}',
+                availability_zone=zone,
+                listen=await self.find_free_address(),
+                peer=await self.find_free_address(),
+                admin=await self.find_free_address(),
+                platform=address,
+            )
+            daemon = Daemon(settings)
+            await daemon.start()
+            self.stack.push_async_callback(daemon.stop)
+            self.daemons.append(daemon)
+
+    async def find_free_address(self) -> str:
+        """Return an address that nobody listens at."""
+        server = await asyncio.start_server(lambda *_: None, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        await server.wait_closed()
+        return f'{HOST}:{port}'
+
+    async def apply(self, configuration: Configuration) -> None:
+        """Publish a configuration and wait until it is in force."""
+        head = await publish(
+            self.platform,
+            configuration,
+            author='demo',
+            change_id=f'demo-{self.version}',
+            base_version=self.version,
+        )
+        self.version = head.version
+        await asyncio.sleep(SETTLE_S)
+
+    async def count_runs(self, key: str) -> int:
+        """Return how often a submission ran on all targets together."""
+        return sum(target.runs[key] for target in self.targets.values())
--- /dev/null
+++ b/src/currantspur/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between messages and the protocols of the outside."""
--- /dev/null
+++ b/src/currantspur/wire/listener.py
@@ -0,0 +1,224 @@
+"""Serve callers over HTTP: look-ups and requests."""
+
+from collections.abc import AsyncGenerator, AsyncIterator
+from ipaddress import ip_address
+from uuid import uuid4
+
+import orjson
+from aiohttp import web
+from opentelemetry.propagate import extract, inject
+from opentelemetry.trace import Tracer
+
+from currantspur.errors import MailboxFullError, TargetError
+from currantspur.messages import (
+    AnswerChunk,
+    AnswerHead,
+    Arrival,
+    LookupAnswer,
+    LookupQuery,
+    Outgoing,
+    Refusal,
+)
+from currantspur.tasks import Clock, Exchange, Mailbox
+from currantspur.tasks.exchange import Part
+from currantspur.wire import headers as names
+from currantspur.wire.errors import encode_refusal
+from currantspur.wire.telemetry import Metrics
+
+CHUNK_BYTES = 65_536
+HEADER_LIMIT_BYTES = 16_384
+MS_PER_S = 1000.0
+LOOKUP_PATH = '/-/entries'
+ID_LIMIT = 128
+
+
+class Listener:
+    """Translate between HTTP and the messages of look-ups and requests."""
+
+    __slots__ = ('clock', 'exchange', 'metrics', 'steering', 'tracer')
+
+    def __init__(
+        self,
+        *,
+        exchange: Exchange,
+        steering: Mailbox,
+        clock: Clock,
+        metrics: Metrics,
+        tracer: Tracer,
+    ) -> None:
+        self.exchange = exchange
+        self.steering = steering
+        self.clock = clock
+        self.metrics = metrics
+        self.tracer = tracer
+
+    def application(self) -> web.Application:
+        """Return the application that serves callers."""
+        application = web.Application(
+            handler_args={
+                'max_line_size': HEADER_LIMIT_BYTES,
+                'max_field_size': HEADER_LIMIT_BYTES,
+            },
+        )
+        application.router.add_get(LOOKUP_PATH, self.look_up)
+        application.router.add_route('*', '/{path:.*}', self.carry)
+        return application
+
+    async def look_up(self, request: web.Request) -> web.Response:
+        """Answer which entries a client should use."""
+        client = request.query.get('client') or request.remote or ''
+        try:
+            ip_address(client)
+        except ValueError:
+            return encode_refusal(
+                Refusal(code='bad_request', detail='client: not an IP number'),
+                read_request_id(request),
+            )
+        self.metrics.lookups.inc()
+        answer = await self.steering.ask(
+            LookupQuery(
+                at=self.clock.now(),
+                client=client,
+                service=request.query.get('service'),
+                team=request.query.get('team'),
+            )
+        )
+        return encode_lookup(answer)
+
+    async def carry(self, request: web.Request) -> web.StreamResponse:
+        """Carry a request to a target and its answer back."""
+        began_at = self.clock.now()
+        request_id = read_request_id(request)
+        context = extract(request.headers)
+        with self.tracer.start_as_current_span('entry.request', context):
+            try:
+                arrival = read_arrival(request, request_id, began_at)
+            except ValueError as error:
+                refusal = Refusal(code='bad_request', detail=str(error))
+                return self._refuse(refusal, request_id)
+            outgoing = read_outgoing(request, request_id)
+            parts = self.exchange.run(arrival, outgoing, read_body(request))
+            try:
+                return await self._answer(request, request_id, parts)
+            finally:
+                await parts.aclose()
+                self.metrics.seconds.observe(self.clock.now() - began_at)
+
+    async def _answer(
+        self,
+        request: web.Request,
+        request_id: str,
+        parts: AsyncGenerator[Part],
+    ) -> web.StreamResponse:
+        try:
+            first = await anext(parts)
+        except MailboxFullError:
+            first = Refusal(code='overloaded', detail='the instance is full')
+        if isinstance(first, Refusal):
+            return self._refuse(first, request_id)
+        if not isinstance(first, AnswerHead):
+            raise AssertionError('an answer begins with its head')
+        response = open_response(first, request_id)
+        await response.prepare(request)
+        try:
+            async for part in parts:
+                if isinstance(part, AnswerChunk):
+                    await response.write(part.body)
+        except TargetError:
+            self._cut(request)
+            return response
+        await response.write_eof()
+        self.metrics.requests.labels('answered').inc()
+        return response
+
+    def _refuse(self, refusal: Refusal, request_id: str) -> web.Response:
+        self.metrics.requests.labels(refusal.code).inc()
+        return encode_refusal(refusal, request_id)
+
+    def _cut(self, request: web.Request) -> None:
+        self.metrics.requests.labels('cut').inc()
+        if request.transport is not None:
+            request.transport.abort()
+
+
+def read_request_id(request: web.Request) -> str:
+    """Return the caller's request id where it is usable, else a new one."""
+    given = request.headers.get(names.REQUEST_ID_HEADER, '')
+    if given.isascii() and given.isprintable() and 0 < len(given) <= ID_LIMIT:
+        return given
+    return uuid4().hex
+
+
+def read_arrival(request: web.Request, request_id: str, at: float) -> Arrival:
+    """Describe a request; raise ValueError for a malformed header."""
+    shown = request.headers.get(names.KEY_HEADER)
+    if shown is not None and not shown.startswith(names.KEY_SCHEME):
+        raise ValueError('Authorization: expected a Bearer key')
+    timeout = request.headers.get(names.TIMEOUT_HEADER)
+    if timeout is not None and not (timeout.isascii() and timeout.isdecimal()):
+        raise ValueError('X-Request-Timeout-Ms: expected a whole number')
+    idempotency_key = request.headers.get(names.IDEMPOTENCY_HEADER)
+    if idempotency_key is not None and len(idempotency_key) > ID_LIMIT:
+        raise ValueError(f'Idempotency-Key: longer than {ID_LIMIT}')
+    return Arrival(
+        request_id=request_id,
+        at=at,
+        method=request.method,
+        path=request.raw_path,
+        key=shown.removeprefix(names.KEY_SCHEME) if shown else None,
+        idempotency_key=idempotency_key,
+        deadline=at + int(timeout) / MS_PER_S if timeout else None,
+    )
+
+
+def read_outgoing(request: web.Request, request_id: str) -> Outgoing:
+    """Describe what the target gets: never the caller's key."""
+    kept = dict(
+        names.keep_headers(request.headers.items(), names.NOT_FOR_TARGETS),
+    )
+    kept[names.REQUEST_ID_HEADER] = request_id
+    inject(kept)
+    return Outgoing(
+        method=request.method,
+        path=request.raw_path,
+        headers=tuple(kept.items()),
+    )
+
+
+async def read_body(request: web.Request) -> AsyncIterator[bytes]:
+    """Yield the body as it comes."""
+    async for chunk in request.content.iter_chunked(CHUNK_BYTES):
+        yield chunk
+
+
+def open_response(head: AnswerHead, request_id: str) -> web.StreamResponse:
+    """Return a response with the head of an answer."""
+    response = web.StreamResponse(status=head.status)
+    for name, line in head.headers:
+        response.headers.add(name, line)
+    response.headers[names.REQUEST_ID_HEADER] = request_id
+    return response
+
+
+def encode_lookup(answer: LookupAnswer) -> web.Response:
+    """Return the documented JSON form of a look-up's answer."""
+    entries = [
+        {
+            'instance': entry.instance,
+            'address': entry.address,
+            'availability_zone': entry.availability_zone,
+            'weight': entry.weight,
+        }
+        for entry in answer.entries
+    ]
+    return web.Response(
+        body=orjson.dumps(
+            {
+                'entries': entries,
+                'cache_s': answer.cache_s,
+                'site': answer.site,
+            }
+        ),
+        content_type='application/json',
+        headers={'Cache-Control': f'max-age={int(answer.cache_s)}'},
+    )
