Set the contracts of the parts that grow next

Cause: several parts are to be built side by side. Before: rates were split inside one message made for teams only. Conclusion: versions, allotments, carrying, steering and operations can be built without touching each other's files.

--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -43,6 +43,10 @@
         self.author = author
 
 
+class PeerAwayError(CurrantspurError):
+    """Report that a peer gave no answer in time."""
+
+
 class MailboxFullError(CurrantspurError):
     """Report that a task has more waiting messages than it may hold."""
 
--- a/src/currantspur/messages/__init__.py
+++ b/src/currantspur/messages/__init__.py
@@ -14,12 +14,28 @@
     Team,
 )
 from currantspur.messages.control import (
+    Change,
     Head,
     InForce,
     Instance,
     Membership,
     Proof,
-    Share,
+)
+from currantspur.messages.peer import (
+    Loan,
+    LoanRequest,
+    ProofAnswer,
+    ProofRequest,
+)
+from currantspur.messages.plan import (
+    Allotment,
+    Part,
+    Parts,
+    Plan,
+    name_link_limit,
+    name_region_limit,
+    name_slots_limit,
+    name_team_limit,
 )
 from currantspur.messages.records import Decision, Evidence, Question
 from currantspur.messages.traffic import (
@@ -38,11 +54,13 @@
 )
 
 __all__ = (
+    'Allotment',
     'AnswerChunk',
     'AnswerHead',
     'Arrival',
     'Assignment',
     'Block',
+    'Change',
     'Configuration',
     'Decision',
     'Drain',
@@ -53,22 +71,32 @@
     'Instance',
     'Key',
     'Link',
+    'Loan',
+    'LoanRequest',
     'LookupAnswer',
     'LookupQuery',
     'Membership',
     'Message',
     'Outgoing',
+    'Part',
+    'Parts',
     'Passage',
+    'Plan',
     'Proof',
+    'ProofAnswer',
+    'ProofRequest',
     'Question',
     'Refusal',
     'Region',
     'Route',
-    'Share',
     'SlotRelease',
     'SlotRequest',
     'Steering',
     'Target',
     'Team',
     'fields',
+    'name_link_limit',
+    'name_region_limit',
+    'name_slots_limit',
+    'name_team_limit',
 )
--- a/src/currantspur/messages/control.py
+++ b/src/currantspur/messages/control.py
@@ -4,12 +4,42 @@
 
 from currantspur.messages.base import Message
 from currantspur.messages.configuration import Configuration
+from currantspur.messages.plan import Plan
+
+
+class Change(Message):
+    """Ask for new sections on top of a base version."""
+
+    __slots__ = ('author', 'base_version', 'change_id', 'note', 'sections')
+
+    def __init__(
+        self,
+        *,
+        change_id: str,
+        base_version: int,
+        sections: dict[str, bytes],
+        author: str,
+        note: str = '',
+    ) -> None:
+        """Take the new bodies by section; the others stay as they are."""
+        self.change_id = change_id
+        self.base_version = base_version
+        self.sections = sections
+        self.author = author
+        self.note = note
 
 
 class Head(Message):
     """Name the newest version and the objects that hold its sections."""
 
-    __slots__ = ('author', 'change_id', 'sections', 'version')
+    __slots__ = (
+        'at_s',
+        'author',
+        'change_id',
+        'note',
+        'sections',
+        'version',
+    )
 
     def __init__(
         self,
@@ -18,7 +48,12 @@
         sections: dict[str, str],
         author: str,
         change_id: str,
+        note: str = '',
+        at_s: float = 0.0,
     ) -> None:
+        """Take the object of each section and the Unix time of the commit."""
+        self.at_s = at_s
+        self.note = note
         self.version = version
         self.sections = sections
         self.author = author
@@ -63,11 +98,18 @@
 class InForce(Message):
     """Bring a version into force on a task."""
 
-    __slots__ = ('configuration', 'head')
+    __slots__ = ('configuration', 'head', 'plan')
 
-    def __init__(self, *, head: Head, configuration: Configuration) -> None:
+    def __init__(
+        self,
+        *,
+        head: Head,
+        configuration: Configuration,
+        plan: Plan | None = None,
+    ) -> None:
         self.head = head
         self.configuration = configuration
+        self.plan = plan or Plan()
 
 
 class Membership(Message):
@@ -77,13 +119,3 @@
 
     def __init__(self, *, instances: tuple[Instance, ...]) -> None:
         self.instances = instances
-
-
-class Share(Message):
-    """Set this instance's part of every team's rate and burst."""
-
-    __slots__ = ('parts',)
-
-    def __init__(self, *, parts: dict[str, tuple[float, float]]) -> None:
-        """Take a rate (requests a second) and a burst for each team."""
-        self.parts = parts
--- a/src/currantspur/pipelines/admission.py
+++ b/src/currantspur/pipelines/admission.py
@@ -6,7 +6,7 @@
 from currantspur.decisions.freshness import Freshness
 from currantspur.decisions.identity import KeyRing
 from currantspur.decisions.routing import RouteTable
-from currantspur.messages import Arrival, Passage, Refusal
+from currantspur.messages import Arrival, Passage, Refusal, name_team_limit
 from currantspur.pipelines.filter import Filter, Gate, Pipeline
 
 
@@ -114,7 +114,7 @@
         """Refuse when the part is used up."""
         if passage.team is None:
             return None
-        bucket = self.state.buckets.get(passage.team)
+        bucket = self.state.buckets.get(name_team_limit(passage.team))
         if bucket is not None and bucket.spend(passage.arrival.at):
             return None
         return Refusal(
--- a/src/currantspur/platform/__init__.py
+++ b/src/currantspur/platform/__init__.py
@@ -9,7 +9,12 @@
     Table,
     Transaction,
 )
-from currantspur.platform.versions import publish, read_head, read_section
+from currantspur.platform.versions import (
+    publish,
+    publish_sections,
+    read_head,
+    read_section,
+)
 
 __all__ = (
     'ABSENT',
@@ -20,6 +25,7 @@
     'Table',
     'Transaction',
     'publish',
+    'publish_sections',
     'read_head',
     'read_section',
 )
--- a/src/currantspur/tasks/admission.py
+++ b/src/currantspur/tasks/admission.py
@@ -6,7 +6,7 @@
 from currantspur.decisions.freshness import Freshness
 from currantspur.decisions.identity import KeyRing
 from currantspur.decisions.routing import RouteTable
-from currantspur.messages import Arrival, InForce, Message, Proof, Share
+from currantspur.messages import Arrival, InForce, Message, Parts, Proof
 from currantspur.pipelines import AdmissionState, assemble_admission
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.mailbox import Letter
@@ -40,12 +40,12 @@
             letter.answer(passage)
 
     def learn(self, message: Message) -> None:
-        """Apply a version, a proof or a share."""
+        """Apply a version, a proof or parts."""
         if isinstance(message, InForce):
             self._apply(message)
         elif isinstance(message, Proof):
             self.state.freshness.accept(message)
-        elif isinstance(message, Share):
+        elif isinstance(message, Parts):
             self._resize(message)
 
     def _apply(self, version: InForce) -> None:
@@ -55,14 +55,16 @@
         self.state.routes = RouteTable(version.configuration.routes)
         self.state.keys = KeyRing(version.configuration.keys)
 
-    def _resize(self, share: Share) -> None:
+    def _resize(self, parts: Parts) -> None:
         now = self.clock.now()
         buckets = self.state.buckets
-        for team in buckets.keys() - share.parts.keys():
-            buckets.pop(team)
-        for team, (rate, burst) in share.parts.items():
-            bucket = buckets.get(team)
+        for limit in buckets.keys() - parts.by_limit.keys():
+            buckets.pop(limit)
+        for limit, part in parts.by_limit.items():
+            bucket = buckets.get(limit)
             if bucket is None:
-                buckets[team] = Bucket(rate=rate, burst=burst, at=now)
+                buckets[limit] = Bucket(
+                    rate=part.rate, burst=part.burst, at=now
+                )
             else:
-                bucket.resize(rate=rate, burst=burst, at=now)
+                bucket.resize(rate=part.rate, burst=part.burst, at=now)
--- a/src/currantspur/tasks/platform_link.py
+++ b/src/currantspur/tasks/platform_link.py
@@ -14,8 +14,10 @@
     Instance,
     Membership,
     Message,
+    Part,
+    Parts,
     Proof,
-    Share,
+    name_team_limit,
 )
 from currantspur.platform import Platform, read_head, read_section
 from currantspur.tasks.clock import Clock
@@ -102,10 +104,12 @@
         live = [one for one in self.members if one.state == 'live']
         count = max(1, len(live))
         parts = {
-            team.name: (team.rate / count, team.burst / count)
+            name_team_limit(team.name): Part(
+                rate=team.rate / count, burst=team.burst / count
+            )
             for team in self.configuration.teams
         }
-        self._tell(Share(parts=parts))
+        self._tell(Parts(by_limit=parts))
 
     def _record(self, head: Head, asked_at: float) -> None:
         age_s = self.clock.now() - asked_at
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -24,7 +24,7 @@
         ]
     )
     state.buckets = {
-        'team-1': Bucket(rate=0, burst=1, at=10, level=level),
+        'team/team-1': Bucket(rate=0, burst=1, at=10, level=level),
     }
     return state
 
