Split the command line into a package and check files by content

Cause: one module held every command; check guessed the kind of a file from a substring, and a missing value was blamed on line 1 of the file. Change: cli is a package with a module a group; the names of a document say what it is; unreadable files and wrong encodings are findings; a missing value is placed at the mapping that lacks it.

--- a/src/currantspur/cli.py
+++ b/src/currantspur/cli/daemons.py
@@ -1,4 +1,4 @@
-"""Offer the command line."""
+"""Run daemons and stand-ins."""
 
 import asyncio
 import signal
@@ -12,10 +12,10 @@
 from aiohttp import web
 from loguru import logger
 
+from currantspur.cli.application import app
 from currantspur.daemon import Daemon
 from currantspur.demo import run_demo
-from currantspur.errors import CurrantspurError, SettingsError
-from currantspur.settings import read_configuration, read_daemon_settings
+from currantspur.settings import read_daemon_settings
 from currantspur.standins import (
     PlatformStandin,
     TargetStandin,
@@ -23,10 +23,6 @@
 )
 from currantspur.wire.server import open_server
 
-EXIT_FINDINGS = 1
-EXIT_FAILED = 2
-
-app = cyclopts.App(name='currantspur', help='Steer traffic across regions.')
 standin = cyclopts.App(name='standin', help='Run a stand-in by hand.')
 app.command(standin)
 
@@ -39,16 +35,6 @@
     uvloop.run(_run_daemon(Daemon, parsed))
 
 
-@app.command
-def check(*files: Path) -> None:
-    """Check files and print every finding with its place."""
-    findings = [finding for file in files for finding in _check_file(file)]
-    for finding in findings:
-        sys.stdout.write(f'{finding}\n')
-    if findings:
-        sys.exit(EXIT_FINDINGS)
-
-
 @app.command
 def demo() -> None:
     """Run a small fleet on loopback and show what it does."""
@@ -70,25 +56,6 @@
     uvloop.run(_serve(application, listen))
 
 
-def main() -> None:
-    """Run the command line; exit 2 where a command failed."""
-    try:
-        app()
-    except (CurrantspurError, OSError) as error:
-        sys.stderr.write(f'{error}\n')
-        sys.exit(EXIT_FAILED)
-
-
-def _check_file(file: Path) -> list[Any]:
-    text = file.read_text(encoding='utf-8')
-    reader = read_daemon_settings if 'instance:' in text else read_configuration
-    try:
-        reader(text, file=str(file))
-    except SettingsError as error:
-        return list(error.findings)
-    return []
-
-
 async def _run_daemon(kind: type[Daemon], settings: Any) -> None:
     daemon = kind(settings)
     await daemon.start()
--- a/src/currantspur/settings/__init__.py
+++ b/src/currantspur/settings/__init__.py
@@ -5,7 +5,11 @@
     read_configuration,
     to_plain,
 )
-from currantspur.settings.daemon import DaemonSettings, read_daemon_settings
+from currantspur.settings.daemon import (
+    DaemonSettings,
+    is_daemon_settings,
+    read_daemon_settings,
+)
 from currantspur.settings.document import is_address, split_address
 from currantspur.settings.findings import Finding
 
@@ -13,6 +17,7 @@
     'DaemonSettings',
     'Finding',
     'is_address',
+    'is_daemon_settings',
     'print_configuration',
     'read_configuration',
     'read_daemon_settings',
--- a/src/currantspur/settings/daemon.py
+++ b/src/currantspur/settings/daemon.py
@@ -8,6 +8,7 @@
 LEAVE_S = 30.0
 SHORTEST_S = 0.01
 LONGEST_S = 3600.0
+DAEMON_NAMES = frozenset(('instance', 'listen', 'peer', 'admin', 'platform'))
 
 
 class DaemonSettings(Message):
@@ -76,6 +77,12 @@
     return settings
 
 
+def is_daemon_settings(text: str) -> bool:
+    """Tell by its names whether a document holds daemon settings."""
+    names = set(Document(text, file='').root.names())
+    return bool(names & DAEMON_NAMES)
+
+
 def _read_collector(root: Cursor) -> str | None:
     if root.child('collector').absent:
         return None
--- a/src/currantspur/settings/document.py
+++ b/src/currantspur/settings/document.py
@@ -59,19 +59,25 @@
 class Cursor:
     """Read typed values below one node; a wrong one becomes a finding."""
 
-    __slots__ = ('document', 'known', 'node', 'path')
+    __slots__ = ('document', 'known', 'node', 'parent', 'path')
 
     def __init__(
-        self, document: Document, node: yaml.Node | None, *, path: str
+        self,
+        document: Document,
+        node: yaml.Node | None,
+        *,
+        path: str,
+        parent: yaml.Node | None = None,
     ) -> None:
         self.document = document
         self.node = node
+        self.parent = parent
         self.path = path
         self.known: set[str] = set()
 
     def blame(self, text: str) -> None:
         """Add a finding at this place."""
-        self.document.add(self.node, self.path, text)
+        self.document.add(self.node or self.parent, self.path, text)
 
     def child(self, name: str) -> 'Cursor':
         """Return the value under a name; a missing one has no node."""
@@ -80,7 +86,7 @@
         for key, node in self._pairs():
             if key.value == name:
                 return Cursor(self.document, node, path=path)
-        return Cursor(self.document, None, path=path)
+        return Cursor(self.document, None, path=path, parent=self.node)
 
     def names(self) -> list[str]:
         """List the names of a mapping."""
--- /dev/null
+++ b/tests/test_check.py
@@ -0,0 +1,31 @@
+import pytest
+
+from currantspur.cli.checking import check_file
+from tests.test_document import DAEMON
+
+
+@pytest.mark.parametrize(
+    ('content', 'found'),
+    [
+        (DAEMON.encode(), None),
+        (b'teams: [{name: one, rate: 1, burst: 1}]\n', None),
+        (b'# instance: x\nteams: [{name: "instance:", rate: 1}]', '2:9'),
+        (b'{instance: entry-1}\n', '1:1'),
+        (b'listen: 127.0.0.1:1\n', 'instance: missing'),
+        (b'teams: \xff\n', 'not UTF-8 at byte 7'),
+        (b'[}', 'not YAML'),
+        (b'', 'expected names'),
+        (None, 'cannot be read: No such file'),
+    ],
+)
+def test_check(tmp_path, content, found):
+    file = tmp_path / 'file.yaml'
+    if content is not None:
+        file.write_bytes(content)
+    findings = '\n'.join(str(one) for one in check_file(file))
+    assert bool(findings) is bool(found)
+    assert not found or found in findings
+
+
+def test_directory(tmp_path):
+    assert 'cannot be read' in str(check_file(tmp_path)[0])
