--- a/src/currantspur/decisions/identity.py
+++ b/src/currantspur/decisions/identity.py
@@ -30,9 +30,8 @@
             return None
         key_id, secret = matched.groups()
         key = self.keys.get(key_id)
-        expected = key.digest if key else _NO_DIGEST
-        is_right = hmac.compare_digest(digest_secret(key_id, secret), expected)
-        return key.team if key and is_right else None
+        digest = key.digest if key else None
+        return key.team if key and is_right(secret, key_id, digest) else None
 
 
 def digest_secret(key_id: str, secret: str) -> str:
@@ -49,3 +48,10 @@
     secret = secrets.token_urlsafe(SECRET_BYTES)
     kept = Key(key_id=key_id, team=team, digest=digest_secret(key_id, secret))
     return f'ck_{key_id}_{secret}', kept
+
+
+def is_right(secret: str, key_id: str, digest: str | None) -> bool:
+    """Compare a secret with a digest; an absent one takes the same time."""
+    expected = digest or _NO_DIGEST
+    is_equal = hmac.compare_digest(digest_secret(key_id, secret), expected)
+    return is_equal and digest is not None
--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -43,6 +43,10 @@
         self.author = author
 
 
+class EditError(CurrantspurError):
+    """Report a change that does not fit the newest configuration."""
+
+
 class PeerAwayError(CurrantspurError):
     """Report that a peer gave no answer in time."""
 
--- a/src/currantspur/messages/configuration.py
+++ b/src/currantspur/messages/configuration.py
@@ -7,6 +7,7 @@
 
 Access = Literal['keyed', 'open']
 Objective = Literal['fairness', 'latency']
+Role = Literal['read', 'drain', 'change']
 
 
 class Route(Message):
@@ -52,6 +53,20 @@
         self.digest = digest
 
 
+class Operator(Message):
+    """Let an operator in by the public id and the digest of a key."""
+
+    __slots__ = ('digest', 'key_id', 'name', 'role')
+
+    def __init__(
+        self, *, name: str, role: Role, key_id: str, digest: str
+    ) -> None:
+        self.name = name
+        self.role = role
+        self.key_id = key_id
+        self.digest = digest
+
+
 class Target(Message):
     """Describe a back end: where it listens and what it can take."""
 
@@ -176,6 +191,7 @@
         'drains',
         'keys',
         'links',
+        'operators',
         'regions',
         'routes',
         'steering',
@@ -194,6 +210,7 @@
         links: tuple[Link, ...] = (),
         blocks: tuple[Block, ...] = (),
         drains: tuple[Drain, ...] = (),
+        operators: tuple[Operator, ...] = (),
         steering: Steering | None = None,
     ) -> None:
         self.routes = routes
@@ -204,4 +221,5 @@
         self.links = links
         self.blocks = blocks
         self.drains = drains
+        self.operators = operators
         self.steering = steering or Steering()
--- a/src/currantspur/settings/configuration.py
+++ b/src/currantspur/settings/configuration.py
@@ -17,6 +17,8 @@
 STEP_S = 5.0
 CONNECTIONS = 330
 SMALLEST_SHARE = 0.001
+KEY_ID_DIGITS = 16
+DIGEST_DIGITS = 64
 SCOPES = ('target', 'availability_zone', 'region')
 
 
@@ -35,6 +37,7 @@
         links=tuple(map(_read_link, root.each('links'))),
         blocks=tuple(map(_read_block, root.each('blocks'))),
         drains=tuple(map(_read_drain, root.each('drains'))),
+        operators=tuple(map(read_operator, root.each('operators'))),
         steering=_read_steering(root.child('steering')),
     )
     root.finish()
@@ -106,14 +109,29 @@
 
 def _read_key(cursor: Cursor) -> written.Key:
     key = written.Key(
-        key_id=cursor.text('key_id'),
+        key_id=cursor.hexadecimal('key_id', KEY_ID_DIGITS),
         team=cursor.text('team'),
-        digest=cursor.text('digest'),
+        digest=cursor.hexadecimal('digest', DIGEST_DIGITS),
     )
     cursor.finish()
     return key
 
 
+def read_operator(cursor: Cursor) -> written.Operator:
+    """Read an operator; daemon settings hold the same form."""
+    operator = written.Operator(
+        name=cursor.text('name'),
+        role=cast(
+            'written.Role',
+            cursor.choice('role', get_args(written.Role), 'read'),
+        ),
+        key_id=cursor.hexadecimal('key_id', KEY_ID_DIGITS),
+        digest=cursor.hexadecimal('digest', DIGEST_DIGITS),
+    )
+    cursor.finish()
+    return operator
+
+
 def _read_target(cursor: Cursor) -> written.Target:
     target = written.Target(
         name=cursor.text('name'),
@@ -209,6 +227,7 @@
     for section, name in (
         ('teams', 'name'),
         ('keys', 'key_id'),
+        ('operators', 'key_id'),
         ('targets', 'name'),
         ('regions', 'name'),
         ('routes', 'prefix'),
--- a/src/currantspur/settings/daemon.py
+++ b/src/currantspur/settings/daemon.py
@@ -1,6 +1,8 @@
 """Read the settings of one entry daemon."""
 
+from currantspur.messages import Operator
 from currantspur.messages.base import Message
+from currantspur.settings.configuration import read_operator
 from currantspur.settings.document import Cursor, Document
 
 FRESHNESS_S = 1.5
@@ -22,6 +24,7 @@
         'instance',
         'leave_s',
         'listen',
+        'operators',
         'peer',
         'platform',
         'poll_s',
@@ -40,6 +43,7 @@
         freshness_s: float = FRESHNESS_S,
         poll_s: float = POLL_S,
         leave_s: float = LEAVE_S,
+        operators: tuple[Operator, ...] = (),
     ) -> None:
         """Take addresses as IP numbers with ports and times in seconds."""
         self.instance = instance
@@ -52,6 +56,7 @@
         self.freshness_s = freshness_s
         self.poll_s = poll_s
         self.leave_s = leave_s
+        self.operators = operators
 
 
 def read_daemon_settings(text: str, *, file: str) -> DaemonSettings:
@@ -71,6 +76,7 @@
         ),
         poll_s=root.number('poll_s', POLL_S, low=SHORTEST_S, high=LONGEST_S),
         leave_s=root.number('leave_s', LEAVE_S, high=LONGEST_S),
+        operators=tuple(map(read_operator, root.each('operators'))),
     )
     root.finish()
     document.close()
--- a/src/currantspur/settings/document.py
+++ b/src/currantspur/settings/document.py
@@ -1,8 +1,9 @@
 """Read YAML as nodes that know their place and collect findings."""
 
 import math
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from ipaddress import IPv4Network, IPv6Network, ip_address, ip_network
+from itertools import chain
 from typing import TypeVar
 
 import yaml
@@ -24,6 +25,7 @@
         'tag:yaml.org,2002:float',
     )
 )
+_HEXADECIMAL = frozenset('0123456789abcdef')
 _TRUE_WORDS = frozenset(('true', 'yes', 'on'))
 
 
@@ -90,7 +92,7 @@
 
     def names(self) -> list[str]:
         """List the names of a mapping."""
-        return [str(key.value) for key, _ in self._pairs()]
+        return [_read_name(key) for key, _ in self._pairs()]
 
     def each(self, name: str) -> Iterator['Cursor']:
         """Yield the members of the list under a name."""
@@ -168,6 +170,13 @@
             )
         return text
 
+    def hexadecimal(self, name: str, digits: int) -> str:
+        """Return a text of that many lower-case hexadecimal digits."""
+        text = self.text(name)
+        if text and (len(text) != digits or not set(text) <= _HEXADECIMAL):
+            self.child(name).blame(f'expected {digits} hexadecimal digits')
+        return text
+
     def network(self, name: str) -> IPv4Network | IPv6Network:
         """Return a prefix of IP numbers."""
         text = self.text(name)
@@ -188,12 +197,13 @@
         """Blame every name that nobody asked for, and names given twice."""
         seen: set[str] = set()
         for key, _ in self._pairs():
-            path = f'{self.path}.{key.value}' if self.path else str(key.value)
-            if key.value not in self.known:
+            name = _read_name(key)
+            path = f'{self.path}.{name}' if self.path else name
+            if name not in self.known:
                 self.document.add(key, path, 'unknown name')
-            if key.value in seen:
+            if name in seen:
                 self.document.add(key, path, 'given twice')
-            seen.add(str(key.value))
+            seen.add(name)
 
     def _pairs(self) -> list[tuple[yaml.Node, yaml.Node]]:
         if isinstance(self.node, yaml.MappingNode):
@@ -220,6 +230,10 @@
     return host.strip('[]'), int(port)
 
 
+def _read_name(key: yaml.Node) -> str:
+    return key.value if isinstance(key, yaml.ScalarNode) else key.id
+
+
 def _parse_number(node: yaml.Node | None) -> float | None:
     if node is None or node.tag not in _NUMBER_TAGS:
         return None
@@ -241,8 +255,9 @@
         return None
     if not isinstance(node, yaml.MappingNode):
         document.add(node, '', 'expected names with values')
-    elif _is_deep(node, DEPTH_LIMIT):
-        document.add(node, '', f'nested more than {DEPTH_LIMIT} levels')
+        return node
+    for blamed, problem in _find_misuse(node):
+        document.add(blamed, '', problem)
         return None
     return node
 
@@ -261,13 +276,21 @@
     )
 
 
-def _is_deep(node: yaml.Node, levels: int) -> bool:
-    if levels == 0:
-        return True
+def _find_misuse(root: yaml.Node) -> Iterator[tuple[yaml.Node, str]]:
+    """Yield nodes nested too deep or used twice; aliases grow without end."""
+    seen: set[int] = set()
+    waiting = [(root, 0)]
+    while waiting:
+        node, depth = waiting.pop()
+        if id(node) in seen:
+            yield node, 'aliases are not allowed'
+        elif depth > DEPTH_LIMIT:
+            yield node, f'nested more than {DEPTH_LIMIT} levels'
+        seen.add(id(node))
+        waiting.extend((child, depth + 1) for child in _list_children(node))
+
+
+def _list_children(node: yaml.Node) -> Iterable[yaml.Node]:
     if isinstance(node, yaml.MappingNode):
-        children = [child for pair in node.value for child in pair]
-    elif isinstance(node, yaml.SequenceNode):
-        children = node.value
-    else:
-        return False
-    return any(_is_deep(child, levels - 1) for child in children)
+        return chain.from_iterable(node.value)
+    return node.value if isinstance(node, yaml.SequenceNode) else ()
