--- a/src/currantspur/settings/document.py
+++ b/src/currantspur/settings/document.py
@@ -16,6 +16,7 @@
 SIZE_LIMIT_BYTES = 67_108_864
 DEPTH_LIMIT = 24
 PORT_LIMIT = 65535
+NOT_A_NAME = '?'
 _TEXT_TAG = 'tag:yaml.org,2002:str'
 _NULL_TAG = 'tag:yaml.org,2002:null'
 _BOOL_TAG = 'tag:yaml.org,2002:bool'
@@ -231,7 +232,9 @@
 
 
 def _read_name(key: yaml.Node) -> str:
-    return key.value if isinstance(key, yaml.ScalarNode) else key.id
+    if isinstance(key, yaml.ScalarNode):
+        return str(key.value)
+    return NOT_A_NAME
 
 
 def _parse_number(node: yaml.Node | None) -> float | None:
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -35,7 +35,7 @@
         ('peer:', 'poll_s: .nan\npeer:', 4, 'poll_s', 'expected a number'),
         ('peer:', 'listen: 127.0.0.1:1\npeer:', 4, 'listen', 'given twice'),
         ('instance:', '[}', 1, '', 'not YAML'),
-        ('peer:', '{[a]: b}: 1\npeer:', 4, 'mapping', 'unknown name'),
+        ('peer:', '{[a]: b}: 1\npeer:', 4, '?', 'unknown name'),
         ('peer:', 'x: [&a [1], *a]\npeer:', 4, '', 'aliases are not'),
         ('peer:', f'x: {"[" * 30}{"]" * 30}\npeer:', 4, '', 'nested more'),
         (
