--- a/src/currantspur/decisions/forecast.py
+++ b/src/currantspur/decisions/forecast.py
@@ -75,7 +75,7 @@
     share = granted / rest if rest else 1.0
     yield Effect(
         kind='limit',
-        subject=f'intake without region {largest.name}',
+        subject=f'intake without {largest.name}',
         share=share,
         text=f'teams may send {granted:g} of {rest:g} a second',
         is_warning=share >= NEAR_SHARE,
