--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -47,6 +47,10 @@
     """Report that a peer gave no answer in time."""
 
 
+class LoadError(CurrantspurError):
+    """Report a load run that may not start."""
+
+
 class MailboxFullError(CurrantspurError):
     """Report that a task has more waiting messages than it may hold."""
 
