Inject faults into the platform from a table

Cause: failures of the platform could not be caused on purpose. Change: a layer around the three ports applies outage, slowness, an answer lost after the write, a lagging list; each may be limited to calling instances, which makes a cut. The stand-in serves PUT and GET /-/faults; callers name themselves.

--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -57,7 +57,9 @@
         self.tracer = open_tracer(
             instance=settings.instance, collector=settings.collector
         )
-        self.client = PlatformClient(settings.platform)
+        self.client = PlatformClient(
+            settings.platform, caller=settings.instance
+        )
         self.targets = HttpTargets()
         self.admission = AdmissionTask(
             clock=self.clock, freshness_s=settings.freshness_s
--- a/src/currantspur/standins/platform.py
+++ b/src/currantspur/standins/platform.py
@@ -13,7 +13,13 @@
 )
 from currantspur.messages import fields
 from currantspur.platform import Platform, Row, Transaction
-from currantspur.wire.platform_http import decode_instance, encode_instance
+from currantspur.standins.faults import Fault, FaultTable, wrap_platform
+from currantspur.tasks.clock import SystemClock
+from currantspur.wire.platform_http import (
+    CALLER_HEADER,
+    decode_instance,
+    encode_instance,
+)
 
 OBJECT_LIMIT_BYTES = 67_108_864
 
@@ -21,10 +27,13 @@
 class PlatformStandin:
     """Translate between HTTP and the ports of a platform."""
 
-    __slots__ = ('platform',)
+    __slots__ = ('faults', 'platform')
 
-    def __init__(self, platform: Platform) -> None:
+    def __init__(
+        self, platform: Platform, faults: FaultTable | None = None
+    ) -> None:
         self.platform = platform
+        self.faults = faults or FaultTable(SystemClock())
 
     def application(self) -> web.Application:
         """Return the application that serves the platform."""
@@ -39,18 +48,36 @@
         router.add_get('/objects/{name:.+}', self.get_object)
         router.add_put('/instances/{name}', self.announce)
         router.add_get('/instances', self.list_instances)
+        router.add_get('/-/faults', self.show_faults)
+        router.add_put('/-/faults', self.replace_faults)
         return application
 
+    def serve(self, request: web.Request) -> Platform:
+        """Return the platform as the caller of a request sees it."""
+        party = request.headers.get(CALLER_HEADER, '')
+        return wrap_platform(self.platform, self.faults, party=party)
+
+    async def show_faults(self, _request: web.Request) -> web.Response:
+        """List the faults in effect."""
+        shown = [dict(fields(fault)) for fault in self.faults.faults]
+        return web.Response(body=orjson.dumps(shown))
+
+    async def replace_faults(self, request: web.Request) -> web.Response:
+        """Replace the faults in effect."""
+        plain = await request.json(loads=orjson.loads)
+        self.faults.replace(Fault(**one) for one in plain)
+        return web.Response()
+
     async def read(self, request: web.Request) -> web.Response:
         """Read rows by key."""
         asked = await request.json(loads=orjson.loads)
-        rows = await self.platform.table.read(asked['keys'])
+        rows = await self.serve(request).table.read(asked['keys'])
         return _encode_rows(list(rows.values()))
 
     async def scan(self, request: web.Request) -> web.Response:
         """Read rows by prefix."""
         asked = await request.json(loads=orjson.loads)
-        rows = await self.platform.table.scan(
+        rows = await self.serve(request).table.scan(
             asked['prefix'], limit=asked['limit']
         )
         return _encode_rows(rows)
@@ -58,7 +85,7 @@
     async def commit(self, request: web.Request) -> web.Response:
         """Commit a transaction."""
         asked = await request.json(loads=orjson.loads)
-        versions = await self.platform.table.commit(
+        versions = await self.serve(request).table.commit(
             Transaction(conditions=asked['conditions'], writes=asked['writes'])
         )
         return web.Response(body=orjson.dumps(versions))
@@ -66,23 +93,27 @@
     async def put_object(self, request: web.Request) -> web.Response:
         """Store an object."""
         body = await request.read()
-        await self.platform.object_store.put(request.match_info['name'], body)
+        await self.serve(request).object_store.put(
+            request.match_info['name'], body
+        )
         return web.Response()
 
     async def get_object(self, request: web.Request) -> web.Response:
         """Return an object."""
         name = request.match_info['name']
-        return web.Response(body=await self.platform.object_store.get(name))
+        return web.Response(
+            body=await self.serve(request).object_store.get(name)
+        )
 
     async def announce(self, request: web.Request) -> web.Response:
         """Note an instance."""
         plain = await request.json(loads=orjson.loads)
-        await self.platform.instances.announce(decode_instance(plain))
+        await self.serve(request).instances.announce(decode_instance(plain))
         return web.Response()
 
-    async def list_instances(self, _request: web.Request) -> web.Response:
+    async def list_instances(self, request: web.Request) -> web.Response:
         """List the instances."""
-        known = await self.platform.instances.list()
+        known = await self.serve(request).instances.list()
         body = orjson.dumps([encode_instance(one) for one in known])
         return web.Response(body=body)
 
--- a/src/currantspur/wire/platform_http.py
+++ b/src/currantspur/wire/platform_http.py
@@ -23,6 +23,7 @@
 )
 
 TIMEOUT_S = 2.0
+CALLER_HEADER = 'X-Caller'
 
 
 class PlatformClient:
@@ -30,9 +31,10 @@
 
     __slots__ = ('address', 'session')
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, *, caller: str = '') -> None:
         self.address = address
         self.session = aiohttp.ClientSession(
+            headers={CALLER_HEADER: caller},
             timeout=aiohttp.ClientTimeout(total=TIMEOUT_S),
         )
 
--- /dev/null
+++ b/tests/virtual.py
@@ -0,0 +1,60 @@
+"""Run tasks in virtual time: the clock moves when all tasks wait."""
+
+import asyncio
+import heapq
+from itertools import count
+
+from currantspur.tasks.clock import Clock
+
+TURNS = 60
+UNIX_EPOCH_S = 1_700_000_000
+
+
+class VirtualClock(Clock):
+    """Move time only on request; sleepers wake in order."""
+
+    def __init__(self) -> None:
+        self.at = 0.0
+        self.sleepers = []
+        self.numbers = count()
+
+    def now(self) -> float:
+        return self.at
+
+    def unix(self) -> float:
+        return UNIX_EPOCH_S + self.at
+
+    async def sleep(self, seconds: float) -> None:
+        woken = asyncio.get_running_loop().create_future()
+        entry = (self.at + max(0, seconds), next(self.numbers), woken)
+        heapq.heappush(self.sleepers, entry)
+        await woken
+
+    async def advance(self, seconds: float) -> None:
+        """Pass time, waking each sleeper at its moment."""
+        end = self.at + seconds
+        await settle()
+        while self.sleepers and self.sleepers[0][0] <= end:
+            self.wake_next()
+            await settle()
+        self.at = end
+
+    async def drive(self, work):
+        """Pass as much time as some work needs and return its outcome."""
+        running = asyncio.ensure_future(work)
+        await settle()
+        while not running.done() and self.sleepers:
+            self.wake_next()
+            await settle()
+        return await running
+
+    def wake_next(self) -> None:
+        at, _, woken = heapq.heappop(self.sleepers)
+        self.at = max(self.at, at)
+        if not woken.done():
+            woken.set_result(None)
+
+
+async def settle() -> None:
+    for _ in range(TURNS):
+        await asyncio.sleep(0)
