Carry messages between instances over gRPC

Cause: instances could not ask each other; lending and freshness need it. Change: proto/peer.proto and the generated code; a codec that maps each message by its fields; a client that implements PeerPort and a server that passes questions to the mailboxes of tasks (daemon: _peer_mailboxes). Conclusion: lending and the relays can be built on it.

--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from currantspur.errors import PlatformError
-from currantspur.messages import Instance
+from currantspur.messages import Instance, Message
 from currantspur.settings import DaemonSettings
 from currantspur.tasks import (
     AdmissionTask,
@@ -15,6 +15,7 @@
     Exchange,
     Journal,
     Ledger,
+    Mailbox,
     PlatformLink,
     SteeringTask,
     SystemClock,
@@ -23,6 +24,7 @@
 )
 from currantspur.wire.admin import AdminListener
 from currantspur.wire.listener import Listener
+from currantspur.wire.peer_grpc import GrpcPeers, PeerServer
 from currantspur.wire.platform_http import PlatformClient, open_platform
 from currantspur.wire.server import open_server
 from currantspur.wire.targets import HttpTargets
@@ -40,6 +42,8 @@
         'journal',
         'link',
         'metrics',
+        'peer_server',
+        'peers',
         'pool',
         'runners',
         'settings',
@@ -61,6 +65,7 @@
             settings.platform, caller=settings.instance
         )
         self.targets = HttpTargets()
+        self.peers = GrpcPeers()
         self.admission = AdmissionTask(
             clock=self.clock, freshness_s=settings.freshness_s
         )
@@ -70,6 +75,7 @@
         self.steering = SteeringTask()
         self.journal = Journal()
         self.link = self._open_link()
+        self.peer_server = PeerServer(self._peer_mailboxes())
         self.jobs: list[asyncio.Task[None]] = []
         self.runners: list[Any] = []
 
@@ -93,6 +99,7 @@
             (admin.application(), settings.admin),
         ):
             self.runners.append(await open_server(application, address))
+        await self.peer_server.start(settings.peer)
         for task in self._tasks():
             self._spawn(task.run())
         self._spawn(self.link.run())
@@ -113,13 +120,21 @@
         for job in self.jobs:
             job.cancel()
         await asyncio.gather(*self.jobs, return_exceptions=True)
+        await self._close()
+        logger.info('{} stopped', self.settings.instance)
+
+    async def _close(self) -> None:
+        await self.peer_server.stop()
+        await self.peers.close()
         await self.targets.close()
         await self.client.close()
-        logger.info('{} stopped', self.settings.instance)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self.jobs.append(asyncio.create_task(work))
 
+    def _peer_mailboxes(self) -> dict[type[Message], Mailbox]:
+        return {}
+
     def _tasks(self) -> tuple[Task, ...]:
         return (self.admission, self.pool, self.steering, self.journal)
 
--- a/src/currantspur/messages/peer.py
+++ b/src/currantspur/messages/peer.py
@@ -1,6 +1,7 @@
 """Define what instances say to each other."""
 
 from currantspur.messages.base import Message
+from currantspur.messages.control import Instance
 
 
 class ProofRequest(Message):
@@ -68,3 +69,104 @@
         self.tokens = tokens
         self.lapse_s = lapse_s
         self.loan_id = loan_id
+
+
+class WriteIntent(Message):
+    """Announce a write on top of a base version before it is sent."""
+
+    __slots__ = ('author', 'base_version', 'change_id', 'writer')
+
+    def __init__(
+        self, *, writer: str, change_id: str, author: str, base_version: int
+    ) -> None:
+        self.writer = writer
+        self.change_id = change_id
+        self.author = author
+        self.base_version = base_version
+
+
+class WriteAcknowledgement(Message):
+    """Accept an intended write under the row version of an incarnation."""
+
+    __slots__ = ('accepted', 'answerer', 'row_version')
+
+    def __init__(
+        self, *, answerer: str, accepted: bool, row_version: int = 0
+    ) -> None:
+        self.answerer = answerer
+        self.accepted = accepted
+        self.row_version = row_version
+
+
+class VersionNotice(Message):
+    """Say that a version exists, so that it is looked for at once."""
+
+    __slots__ = ('sender', 'version')
+
+    def __init__(self, *, sender: str, version: int) -> None:
+        self.sender = sender
+        self.version = version
+
+
+class Receipt(Message):
+    """Say that a notice arrived."""
+
+    __slots__ = ('answerer',)
+
+    def __init__(self, *, answerer: str) -> None:
+        self.answerer = answerer
+
+
+class HeadRequest(Message):
+    """Ask a peer for the head of a version; 0 asks for its newest."""
+
+    __slots__ = ('version',)
+
+    def __init__(self, *, version: int = 0) -> None:
+        self.version = version
+
+
+class HeadAnswer(Message):
+    """Pass the text of a head on; it is empty when the peer lacks it."""
+
+    __slots__ = ('text',)
+
+    def __init__(self, *, text: str) -> None:
+        self.text = text
+
+
+class ObjectRequest(Message):
+    """Ask a peer for an object by its name."""
+
+    __slots__ = ('name',)
+
+    def __init__(self, *, name: str) -> None:
+        self.name = name
+
+
+class ObjectAnswer(Message):
+    """Pass an object on, if the peer holds it."""
+
+    __slots__ = ('body', 'found')
+
+    def __init__(self, *, found: bool, body: bytes = b'') -> None:
+        self.found = found
+        self.body = body
+
+
+class MembersRequest(Message):
+    """Ask a peer which instances it knows."""
+
+    __slots__ = ('asker',)
+
+    def __init__(self, *, asker: str) -> None:
+        self.asker = asker
+
+
+class MembersAnswer(Message):
+    """Pass the known instances on."""
+
+    __slots__ = ('instances',)
+
+    def __init__(self, *, instances: tuple[Instance, ...]) -> None:
+        self.instances = instances
