Serve the administration API: changes, keys, drains, history, blame, dry run

Cause: operators had no way to change anything but to write to the store. Change: routes for operators by role on the admin listener; a task that carries out one change at a time, checks the author against the newest version, puts it on its base and is idempotent by change id; rejections are typed JSON with findings or with both authors.

--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -10,8 +10,11 @@
 from currantspur.messages import Instance, Message
 from currantspur.settings import DaemonSettings
 from currantspur.tasks import (
+    AdministrationTask,
     AdmissionTask,
+    ChangeTask,
     Clock,
+    DirectCommitter,
     Exchange,
     Journal,
     Ledger,
@@ -22,7 +25,7 @@
     TargetPool,
     Task,
 )
-from currantspur.wire.admin import AdminListener
+from currantspur.wire.admin import AdminListener, AdminServices
 from currantspur.wire.listener import Listener
 from currantspur.wire.peer_grpc import GrpcPeers, PeerServer
 from currantspur.wire.platform_http import PlatformClient, open_platform
@@ -35,7 +38,9 @@
     """Run one entry instance from start to graceful stop."""
 
     __slots__ = (
+        'administration',
         'admission',
+        'changes',
         'client',
         'clock',
         'jobs',
@@ -74,7 +79,15 @@
         )
         self.steering = SteeringTask()
         self.journal = Journal()
+        self.administration = AdministrationTask(
+            clock=self.clock, trusted=settings.operators
+        )
         self.link = self._open_link()
+        self.changes = ChangeTask(
+            platform=self.link.platform,
+            committer=DirectCommitter(self.link.platform),
+            trusted=settings.operators,
+        )
         self.peer_server = PeerServer(self._peer_mailboxes())
         self.jobs: list[asyncio.Task[None]] = []
         self.runners: list[Any] = []
@@ -89,8 +102,8 @@
             tracer=self.tracer,
         )
         admin = AdminListener(
+            services=self._open_services(),
             metrics=self.metrics,
-            journal=self.journal.mailbox,
             is_ready=self.is_ready,
         )
         settings = self.settings
@@ -103,6 +116,7 @@
         for task in self._tasks():
             self._spawn(task.run())
         self._spawn(self.link.run())
+        self._spawn(self.changes.run())
         logger.info('{} listens at {}', settings.instance, settings.listen)
 
     def is_ready(self) -> bool:
@@ -136,7 +150,13 @@
         return {}
 
     def _tasks(self) -> tuple[Task, ...]:
-        return (self.admission, self.pool, self.steering, self.journal)
+        return (
+            self.admission,
+            self.pool,
+            self.steering,
+            self.journal,
+            self.administration,
+        )
 
     def _open_link(self) -> PlatformLink:
         settings = self.settings
@@ -146,7 +166,12 @@
             peer=settings.peer,
             availability_zone=settings.availability_zone,
         )
-        tasks = (self.admission, self.pool, self.steering)
+        tasks = (
+            self.admission,
+            self.pool,
+            self.steering,
+            self.administration,
+        )
         return PlatformLink(
             platform=open_platform(self.client),
             instance=instance,
@@ -156,6 +181,16 @@
             journal=self.journal.mailbox,
         )
 
+    def _open_services(self) -> AdminServices:
+        return AdminServices(
+            instance=self.link.instance,
+            administration=self.administration.mailbox,
+            changes=self.changes.mailbox,
+            journal=self.journal.mailbox,
+            platform=self.link.platform,
+            peers=self.peers,
+        )
+
     def _open_exchange(self) -> Exchange:
         return Exchange(
             admission=self.admission.mailbox,
--- a/src/currantspur/decisions/edits.py
+++ b/src/currantspur/decisions/edits.py
@@ -3,7 +3,7 @@
 from abc import abstractmethod
 from typing import Any, ClassVar, TypeVar
 
-from currantspur.errors import EditError
+from currantspur.errors import EditError, TakenError
 from currantspur.messages import (
     Configuration,
     Drain,
@@ -137,7 +137,7 @@
         if self.drain.name not in _list_scope(configuration, self.drain.scope):
             raise EditError(f'no such {self.drain.scope}: {self.drain.name}')
         if _has_drain(configuration, self.drain.drain_id):
-            raise EditError(f'drain exists: {self.drain.drain_id}')
+            raise TakenError(f'drain exists: {self.drain.drain_id}')
         drains = (*configuration.drains, self.drain)
         return _copy(configuration, drains=drains)
 
--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from currantspur.messages.operators import Rejection
     from currantspur.settings.findings import Finding
 
 
@@ -47,6 +48,26 @@
     """Report a change that does not fit the newest configuration."""
 
 
+class TakenError(EditError):
+    """Report a name that is in use already."""
+
+
+class OutcomeUnknownError(CurrantspurError):
+    """Report a write that may or may not have taken effect."""
+
+
+class ForbiddenError(CurrantspurError):
+    """Report an operator who may not do what was asked."""
+
+
+class RejectedError(CurrantspurError):
+    """Carry the reason why an operator's request was not carried out."""
+
+    def __init__(self, rejection: 'Rejection') -> None:
+        super().__init__(rejection.detail)
+        self.rejection = rejection
+
+
 class PeerAwayError(CurrantspurError):
     """Report that a peer gave no answer in time."""
 
--- a/src/currantspur/messages/operators.py
+++ b/src/currantspur/messages/operators.py
@@ -1,12 +1,15 @@
 """Define what operators ask of an instance and what they are told."""
 
-from typing import Literal
+from typing import TYPE_CHECKING, Literal
 
 from currantspur.messages.base import Message
 from currantspur.messages.configuration import Configuration, Operator
 from currantspur.messages.control import Head, Instance
 from currantspur.messages.plan import Part
 
+if TYPE_CHECKING:
+    from currantspur.settings.findings import Finding
+
 Plain = str | float | int | bool
 RejectionCode = Literal[
     'conflict',
@@ -131,7 +134,14 @@
 class Rejection(Message):
     """Say why an operator's request was not carried out."""
 
-    __slots__ = ('author', 'code', 'detail', 'other_author', 'version')
+    __slots__ = (
+        'author',
+        'code',
+        'detail',
+        'findings',
+        'other_author',
+        'version',
+    )
 
     def __init__(
         self,
@@ -141,10 +151,12 @@
         author: str = '',
         other_author: str = '',
         version: int = 0,
+        findings: 'tuple[Finding, ...]' = (),
     ) -> None:
         """Take both authors and the newest version where changes conflict."""
         self.code = code
         self.detail = detail
+        self.findings = findings
         self.author = author
         self.other_author = other_author
         self.version = version
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -1,6 +1,8 @@
 """Run tasks that own their state and talk by messages."""
 
+from currantspur.tasks.administration import AdministrationTask
 from currantspur.tasks.admission import AdmissionTask
+from currantspur.tasks.changes import ChangeTask
 from currantspur.tasks.clock import Clock, SystemClock
 from currantspur.tasks.committer import Committer, DirectCommitter
 from currantspur.tasks.exchange import Exchange, TargetPort
@@ -14,7 +16,9 @@
 from currantspur.tasks.task import Task
 
 __all__ = (
+    'AdministrationTask',
     'AdmissionTask',
+    'ChangeTask',
     'Clock',
     'Committer',
     'DirectCommitter',
