--- a/src/currantspur/load/caller.py
+++ b/src/currantspur/load/caller.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Iterable, Sequence
 from hashlib import sha256
 from ipaddress import ip_address
 from typing import Any
@@ -31,7 +31,7 @@
 class LoadRun:
     """Send each shot at its planned time, whatever the others do."""
 
-    __slots__ = ('clock', 'hits', 'session', 'spec', 'started_at')
+    __slots__ = ('clock', 'hits', 'moved', 'session', 'spec', 'started_at')
 
     def __init__(self, spec: LoadSpec, session: aiohttp.ClientSession) -> None:
         self.spec = spec
@@ -39,6 +39,8 @@
         self.clock: Clock = SystemClock()
         self.started_at = self.clock.now()
         self.hits: list[Hit] = []
+        # A caller that looks up again uses another entry from then on.
+        self.moved: dict[str, str] = {}
 
     async def run(self) -> None:
         """Send every shot and wait for all of them to end."""
@@ -64,9 +66,10 @@
 
     async def _exchange(self, shot: Shot, hit: Hit) -> None:
         body = shot.request_id.encode() if _method(shot) == 'POST' else None
+        entry = self.moved.get(shot.entry, shot.entry)
         async with self.session.request(
             _method(shot),
-            f'http://{shot.entry}{shot.path}',
+            f'http://{entry}{shot.path}',
             headers=dict(_headers(shot)),
             data=body,
         ) as response:
@@ -112,6 +115,14 @@
     return checks + [WithinRate(allowance) for allowance in spec.allowances]
 
 
+def count_tried(checks: Sequence[Check], hits: Sequence[Hit]) -> Counter[str]:
+    """Return how many hits could have broken each promise."""
+    tried: Counter[str] = Counter()
+    for check in checks:
+        tried[type(check).__name__] += check.tried(hits)
+    return tried
+
+
 async def count_runs(
     session: aiohttp.ClientSession, targets: Iterable[str]
 ) -> Counter[str]:
