--- a/src/currantspur/decisions/freshness.py
+++ b/src/currantspur/decisions/freshness.py
@@ -1,6 +1,6 @@
 """Decide whether what an instance knows is proven new enough to act on."""
 
-from currantspur.messages import Proof
+from currantspur.messages import Proof, ProofAnswer
 
 
 class Freshness:
@@ -28,3 +28,24 @@
     def is_fresh(self, at: float, *, version: int) -> bool:
         """Tell whether a version is the proven one and young enough."""
         return version == self.version and self.age_s(at) <= self.limit_s
+
+
+def pass_on(
+    proof: Proof, at: float, *, answerer: str, vouches: bool = False
+) -> ProofAnswer:
+    """Return a proof with its age, for a peer whose clock differs."""
+    return ProofAnswer(
+        answerer=answerer,
+        version=proof.version,
+        age_s=max(0.0, at - proof.proven_at),
+        vouches=vouches,
+    )
+
+
+def adopt(answer: ProofAnswer, asked_at: float) -> Proof:
+    """Count the age of a passed proof from before the question was sent."""
+    return Proof(
+        version=answer.version,
+        proven_at=asked_at - max(0.0, answer.age_s),
+        source=answer.answerer,
+    )
