Announce each write to a majority of committers before it is sent

Cause: without the store nobody can tell whether a write is under way. Change: the head names its committers; a committer of changes asks them and puts the rows of their incarnations into the conditions of the transaction; a lost answer is settled by the row of the version and the change id; a conflict names both authors. Direct writes are refused once committers are named.

--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -43,6 +43,10 @@
         self.author = author
 
 
+class QuorumError(PlatformError):
+    """Report that no majority of committers acknowledged: nothing written."""
+
+
 class PeerAwayError(CurrantspurError):
     """Report that a peer gave no answer in time."""
 
--- a/src/currantspur/messages/control.py
+++ b/src/currantspur/messages/control.py
@@ -36,6 +36,7 @@
         'at_s',
         'author',
         'change_id',
+        'committers',
         'note',
         'sections',
         'version',
@@ -50,8 +51,14 @@
         change_id: str,
         note: str = '',
         at_s: float = 0.0,
+        committers: dict[str, str] | None = None,
     ) -> None:
-        """Take the object of each section and the Unix time of the commit."""
+        """Take the object of each section, Unix time, and committers' peers.
+
+        A majority of the committers has to know of the next version before
+        the store does.
+        """
+        self.committers = committers or {}
         self.at_s = at_s
         self.note = note
         self.version = version
--- a/src/currantspur/platform/versions.py
+++ b/src/currantspur/platform/versions.py
@@ -1,12 +1,19 @@
 """Publish numbered versions and read them back."""
 
 import time
+from collections.abc import Mapping
 
 import orjson
 import xxhash
 
-from currantspur.errors import ConflictError
-from currantspur.messages import Change, Configuration, Head, fields
+from currantspur.errors import ConflictError, QuorumError
+from currantspur.messages import (
+    Change,
+    Configuration,
+    Head,
+    Message,
+    fields,
+)
 from currantspur.platform.ports import ABSENT, Platform, Row, Transaction
 from currantspur.settings import print_configuration, read_configuration
 
@@ -14,6 +21,26 @@
 CONFIGURATION_SECTION = 'configuration'
 
 
+class Draft(Message):
+    """Hold the next head, or the one that already holds the change."""
+
+    __slots__ = ('expected', 'head', 'is_landed', 'needed')
+
+    def __init__(
+        self,
+        *,
+        head: Head,
+        expected: int = ABSENT,
+        needed: dict[str, str] | None = None,
+        is_landed: bool = False,
+    ) -> None:
+        """Take the head row's version expected and who must acknowledge."""
+        self.head = head
+        self.expected = expected
+        self.needed = needed or {}
+        self.is_landed = is_landed
+
+
 def decode_head(row: Row | None) -> Head | None:
     """Return the head that a row holds."""
     if row is None:
@@ -59,33 +86,56 @@
 
 
 async def publish_sections(platform: Platform, change: Change) -> Head:
-    """Commit a change as the next version or raise ConflictError."""
-    names = {
+    """Commit a change while no committers are named, else raise QuorumError."""
+    names = await store_sections(platform, change)
+    draft = await draft_head(platform, change, names)
+    if draft.needed and not draft.is_landed:
+        raise QuorumError('the committers have to acknowledge the change')
+    return await send_draft(platform, draft, {})
+
+
+async def store_sections(platform: Platform, change: Change) -> dict[str, str]:
+    """Store the sections of a change and return their object names."""
+    return {
         section: await _store(platform, section, body)
         for section, body in change.sections.items()
     }
-    rows = await platform.table.read([HEAD_KEY])
+
+
+async def draft_head(
+    platform: Platform, change: Change, names: dict[str, str]
+) -> Draft:
+    """Read where the change stands; raise ConflictError if it lost."""
+    own_row = name_version(change.base_version + 1)
+    rows = await platform.table.read([HEAD_KEY, own_row])
     newest = decode_head(rows.get(HEAD_KEY))
-    if newest is not None and newest.change_id == change.change_id:
-        return newest
-    _check_base(newest, change)
-    head = Head(
-        version=change.base_version + 1,
-        sections={**(newest.sections if newest else {}), **names},
-        author=change.author,
-        change_id=change.change_id,
-        note=change.note,
-        at_s=time.time(),
+    winner = decode_head(rows.get(own_row))
+    if winner is not None and winner.change_id == change.change_id:
+        return Draft(head=winner, is_landed=True)
+    _check_base(newest, winner, change)
+    if newest is None:
+        return Draft(head=_next_head(change, names))
+    return Draft(
+        head=_next_head(change, {**newest.sections, **names}),
+        expected=rows[HEAD_KEY].version,
+        needed=newest.committers,
     )
-    text = encode_head(head)
-    expected = rows[HEAD_KEY].version if newest else ABSENT
+
+
+async def send_draft(
+    platform: Platform, draft: Draft, conditions: Mapping[str, int]
+) -> Head:
+    """Write a draft under conditions, unless it has landed before."""
+    if draft.is_landed:
+        return draft.head
+    text = encode_head(draft.head)
     await platform.table.commit(
         Transaction(
-            conditions={HEAD_KEY: expected},
-            writes={HEAD_KEY: text, name_version(head.version): text},
+            conditions={**conditions, HEAD_KEY: draft.expected},
+            writes={HEAD_KEY: text, name_version(draft.head.version): text},
         )
     )
-    return head
+    return draft.head
 
 
 def name_version(version: int) -> str:
@@ -93,16 +143,43 @@
     return f'version/{version:012}'
 
 
+def name_committer(instance: str) -> str:
+    """Return the key of the row of a committer's newest incarnation."""
+    return f'committer/{instance}'
+
+
+def is_intact(name: str, body: bytes) -> bool:
+    """Tell whether a body is the one that an object's name was made of."""
+    return name.endswith(f'/{xxhash.xxh3_128_hexdigest(body)}')
+
+
 async def _store(platform: Platform, section: str, body: bytes) -> str:
     name = f'{section}/{xxhash.xxh3_128_hexdigest(body)}'
     await platform.object_store.put(name, body)
     return name
 
 
-def _check_base(newest: Head | None, change: Change) -> None:
+def _next_head(change: Change, sections: dict[str, str]) -> Head:
+    return Head(
+        version=change.base_version + 1,
+        sections=sections,
+        author=change.author,
+        change_id=change.change_id,
+        note=change.note,
+        at_s=time.time(),
+    )
+
+
+def _check_base(
+    newest: Head | None, winner: Head | None, change: Change
+) -> None:
     version = newest.version if newest else 0
-    if version != change.base_version:
-        raise ConflictError(
-            f'version {version} is newer than base {change.base_version}',
-            author=newest.author if newest else '',
-        )
+    if version == change.base_version:
+        return
+    won = winner or newest
+    author = won.author if won else ''
+    raise ConflictError(
+        f'version {version} is newer than base {change.base_version}:'
+        f' {author} won, {change.author} lost',
+        author=author,
+    )
--- a/src/currantspur/tasks/committer.py
+++ b/src/currantspur/tasks/committer.py
@@ -1,9 +1,39 @@
 """Commit changes as the next version."""
 
 from abc import ABC, abstractmethod
+from contextlib import aclosing
 
-from currantspur.messages import Change, Head
+from currantspur.decisions.committers import (
+    choose_committers,
+    count_majority,
+)
+from currantspur.errors import (
+    ConflictError,
+    PlatformAwayError,
+    QuorumError,
+)
+from currantspur.messages import (
+    Change,
+    Head,
+    MembersRequest,
+    VersionNotice,
+    WriteAcknowledgement,
+    WriteIntent,
+)
 from currantspur.platform import Platform, publish_sections
+from currantspur.platform.versions import (
+    Draft,
+    draft_head,
+    name_committer,
+    send_draft,
+    store_sections,
+)
+from currantspur.tasks.clock import Clock
+from currantspur.tasks.mailbox import Mailbox
+from currantspur.tasks.quorum import Quorum
+
+ATTEMPTS = 5
+RETRY_S = 0.3
 
 
 class Committer(ABC):
@@ -17,7 +47,7 @@
 
 
 class DirectCommitter(Committer):
-    """Commit to the platform at once."""
+    """Commit to the platform at once; refuse once committers are named."""
 
     __slots__ = ('platform',)
 
@@ -27,3 +57,96 @@
     async def commit(self, change: Change) -> Head:
         """Return the head that holds the change, or raise ConflictError."""
         return await publish_sections(self.platform, change)
+
+
+class QuorumCommitter(Committer):
+    """Announce each write to a majority of committers before it is sent."""
+
+    __slots__ = ('clock', 'members', 'notices', 'platform', 'quorum')
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        quorum: Quorum,
+        clock: Clock,
+        members: Mailbox,
+        notices: Mailbox,
+    ) -> None:
+        """Take who knows the members and who spreads new versions."""
+        self.platform = platform
+        self.quorum = quorum
+        self.clock = clock
+        self.members = members
+        self.notices = notices
+
+    async def commit(self, change: Change) -> Head:
+        """Return the head that holds the change, or raise ConflictError.
+
+        PlatformAwayError leaves the outcome open; the same change may be
+        committed again under its change id.
+        """
+        names = await store_sections(self.platform, change)
+        head = await self._try(change, names)
+        for _ in range(ATTEMPTS):
+            if head is not None:
+                return head
+            await self.clock.sleep(RETRY_S)
+            head = await self._retry(change, names)
+        raise PlatformAwayError('the store gave no answer: outcome open')
+
+    async def _retry(
+        self, change: Change, names: dict[str, str]
+    ) -> Head | None:
+        try:
+            return await self._try(change, names)
+        except (PlatformAwayError, QuorumError):
+            return None
+
+    async def _try(self, change: Change, names: dict[str, str]) -> Head | None:
+        draft = await draft_head(self.platform, change, names)
+        if draft.is_landed:
+            return self._announce(draft.head)
+        members = await self.members.ask(MembersRequest(asker=''))
+        draft.head.committers = choose_committers(
+            draft.needed, members.instances
+        )
+        conditions = await self._gather(draft, change)
+        try:
+            head = await send_draft(self.platform, draft, conditions)
+        except (ConflictError, PlatformAwayError):
+            return None
+        return self._announce(head)
+
+    async def _gather(self, draft: Draft, change: Change) -> dict[str, int]:
+        intent = WriteIntent(
+            writer=self.quorum.name,
+            change_id=change.change_id,
+            author=change.author,
+            base_version=change.base_version,
+        )
+        needed = count_majority(len(draft.needed))
+        conditions: dict[str, int] = {}
+        if not needed:
+            return conditions
+        async with aclosing(self.quorum.ask(draft.needed, intent)) as answers:
+            async for answer in answers:
+                conditions.update(_read_condition(answer))
+                if len(conditions) >= needed:
+                    return conditions
+        raise QuorumError(
+            f'{len(conditions)} of {len(draft.needed)} committers'
+            f' acknowledged, {needed} are needed'
+        )
+
+    def _announce(self, head: Head) -> Head:
+        self.notices.post(
+            VersionNotice(sender=self.quorum.name, version=head.version)
+        )
+        return head
+
+
+def _read_condition(answer: object) -> dict[str, int]:
+    if isinstance(answer, WriteAcknowledgement) and answer.accepted:
+        return {name_committer(answer.answerer): answer.row_version}
+    return {}
