--- a/src/currantspur/cli/__init__.py
+++ b/src/currantspur/cli/__init__.py
@@ -1,6 +1,15 @@
 """Offer the command line: one module for each group of commands."""
 
-from currantspur.cli import checking, daemons
+from currantspur.cli import changes, checking, daemons, drains, keys, review
 from currantspur.cli.application import app, main
 
-__all__ = ('app', 'checking', 'daemons', 'main')
+__all__ = (
+    'app',
+    'changes',
+    'checking',
+    'daemons',
+    'drains',
+    'keys',
+    'main',
+    'review',
+)
--- a/src/currantspur/cli/application.py
+++ b/src/currantspur/cli/application.py
@@ -1,10 +1,11 @@
 """Hold the application that every command registers at."""
 
 import sys
+from collections.abc import Sequence
 
 import cyclopts
 
-from currantspur.errors import CurrantspurError
+from currantspur.errors import CurrantspurError, SettingsError
 
 EXIT_FINDINGS = 1
 EXIT_FAILED = 2
@@ -12,10 +13,13 @@
 app = cyclopts.App(name='currantspur', help='Steer traffic across regions.')
 
 
-def main() -> None:
-    """Run the command line; exit 2 where a command failed."""
+def main(tokens: Sequence[str] | None = None) -> None:
+    """Run the command line; exit 1 for findings, 2 where a command failed."""
     try:
-        app()
+        app(tokens)
+    except SettingsError as error:
+        sys.stderr.write(f'{error}\n')
+        sys.exit(EXIT_FINDINGS)
     except (CurrantspurError, OSError) as error:
         sys.stderr.write(f'{error}\n')
         sys.exit(EXIT_FAILED)
--- a/src/currantspur/cli/checking.py
+++ b/src/currantspur/cli/checking.py
@@ -23,17 +23,33 @@
         sys.exit(EXIT_FINDINGS)
 
 
-def check_file(file: Path) -> list[Finding]:
-    """Return the findings about daemon settings or a configuration."""
+def read_proposal(file: Path) -> str:
+    """Return the text of a configuration file; raise SettingsError."""
+    text, findings = read_file(file)
+    if findings:
+        raise SettingsError(findings)
+    return text
+
+
+def read_file(file: Path) -> tuple[str, list[Finding]]:
+    """Return the text of a file, or the finding why there is none."""
     name = str(file)
     try:
-        text = file.read_text(encoding='utf-8')
+        return file.read_text(encoding='utf-8'), []
     except OSError as error:
-        return [blame_file(name, f'cannot be read: {error.strerror}')]
+        problem = f'cannot be read: {error.strerror}'
     except UnicodeDecodeError as error:
-        return [blame_file(name, f'not UTF-8 at byte {error.start}')]
+        problem = f'not UTF-8 at byte {error.start}'
+    return '', [blame_file(name, problem)]
+
+
+def check_file(file: Path) -> list[Finding]:
+    """Return the findings about daemon settings or a configuration."""
+    text, findings = read_file(file)
+    if findings:
+        return findings
     try:
-        _read(text, name)
+        _read(text, str(file))
     except SettingsError as error:
         return list(error.findings)
     return []
--- a/src/currantspur/decisions/drains.py
+++ b/src/currantspur/decisions/drains.py
@@ -14,6 +14,13 @@
     )
 
 
+def name_state(drain: Drain, unix_s: float) -> str:
+    """Name the state of a drain at a Unix time."""
+    if drain.paused:
+        return 'paused'
+    return 'planned' if drain.start_s > unix_s else 'draining'
+
+
 def covers(configuration: Configuration, drain: Drain, target: Target) -> bool:
     """Tell whether a drain's scope holds a target."""
     if drain.scope == 'target':
--- a/src/currantspur/messages/operators.py
+++ b/src/currantspur/messages/operators.py
@@ -46,7 +46,14 @@
 class Snapshot(Message):
     """Say what is in force on this instance."""
 
-    __slots__ = ('configuration', 'fresh_age_s', 'head', 'members', 'parts')
+    __slots__ = (
+        'configuration',
+        'fresh_age_s',
+        'head',
+        'members',
+        'parts',
+        'unix_s',
+    )
 
     def __init__(
         self,
@@ -56,8 +63,10 @@
         fresh_age_s: float | None,
         members: tuple[Instance, ...],
         parts: dict[str, Part],
+        unix_s: float,
     ) -> None:
         """Take the age in seconds of the proof of the version, if any."""
+        self.unix_s = unix_s
         self.head = head
         self.configuration = configuration
         self.fresh_age_s = fresh_age_s
--- a/src/currantspur/tasks/administration.py
+++ b/src/currantspur/tasks/administration.py
@@ -83,6 +83,7 @@
             fresh_age_s=self._read_age(),
             members=self.members,
             parts=self.parts,
+            unix_s=self.clock.unix(),
         )
 
     def _apply(self, version: InForce) -> None:
--- a/src/currantspur/wire/admin/queries.py
+++ b/src/currantspur/wire/admin/queries.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from currantspur.decisions.difference import blame, compare
+from currantspur.decisions.drains import name_state
 from currantspur.decisions.forecast import foresee
 from currantspur.errors import RejectedError
 from currantspur.messages import Configuration, Head, Question
@@ -92,6 +93,12 @@
                 summary='Automatic decisions, the oldest first.',
                 query=EXPLAIN_QUERY,
             ),
+            AdminRoute(
+                'GET',
+                '/v1/drains',
+                self.show_drains,
+                summary='Drains, and how far each is.',
+            ),
             AdminRoute(
                 'POST',
                 '/v1/diff',
@@ -182,6 +189,16 @@
         )
         return encode_json([to_plain(decision) for decision in decisions])
 
+    async def show_drains(self, _request: web.Request) -> web.Response:
+        """List the drains."""
+        snapshot = await self.ask_snapshot()
+        return encode_json(
+            [
+                {**to_plain(drain), 'state': name_state(drain, snapshot.unix_s)}
+                for drain in snapshot.configuration.drains
+            ]
+        )
+
     async def compare(self, request: web.Request) -> web.Response:
         """Compare a text with what is in force."""
         form = read_form(await request.read(), (TEXT, FILE))
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -52,7 +52,7 @@
         return ProofAnswer(answerer=peer.name, version=version, age_s=0.5)
 
 
-class Office:
+class AdminInstance:
     """Hold one instance's administration and a client session."""
 
     def __init__(self, stack: AsyncExitStack, platform=None):
@@ -121,17 +121,17 @@
             return response.status, await shown
 
 
-async def open_office(stack, platform=None):
-    office = await Office(stack, platform).open()
+async def open_instance(stack, platform=None):
+    served = await AdminInstance(stack, platform).open()
     if platform is None:
         configuration = describe_workload(ETIQUETA_CLARA, ADDRESSES)
         configuration.operators = tuple(kept for _, kept in MINTED.values())
         await publish(
-            office.platform,
+            served.platform,
             configuration,
             author='root',
             change_id='first',
             base_version=0,
         )
-    await office.follow()
-    return office
+    await served.follow()
+    return served
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -11,7 +11,7 @@
 from currantspur.settings import print_configuration
 from currantspur.standins.faults import Fault
 from currantspur.standins.workloads import ETIQUETA_CLARA, describe_workload
-from tests.operators import ADDRESSES, MINTED, SECRETS, open_office
+from tests.operators import ADDRESSES, MINTED, SECRETS, open_instance
 
 _, KEY = mint_key('team-1')
 _, NEW = mint_operator_key('vera', 'drain')
@@ -64,9 +64,9 @@
 
 
 @pytest.fixture
-async def office():
+async def served():
     async with AsyncExitStack() as stack:
-        opened = await open_office(stack)
+        opened = await open_instance(stack)
         started = {**START, 'change_id': 'c0', 'drain_id': 'd0'}
         started['name'] = 'south-1'
         await opened.call('POST', '/v1/drains', started)
@@ -95,7 +95,7 @@
         ('good', 'anna', LOST, 502, 'outcome_unknown'),
     ],
 )
-async def test_writes(office, path, case, operator, faults, status, code):
+async def test_writes(served, path, case, operator, faults, status, code):
     good = rebase(WRITES[path], 2)
     bodies = {
         'good': good,
@@ -105,18 +105,18 @@
         'unknown name': {**good, 'other': 1},
         'wrong kind': {**good, 'change_id': 7},
     }
-    office.faults.replace(
+    served.faults.replace(
         Fault(kind=one.kind, calls=one.calls, count=one.count) for one in faults
     )
-    came, answer = await office.call('POST', path, bodies[case], operator)
+    came, answer = await served.call('POST', path, bodies[case], operator)
     assert (came, answer.get('error', {}).get('code')) == (status, code), answer
-    head = await read_head(office.platform)
+    head = await read_head(served.platform)
     is_written = status in {200, 502}
     assert head.version == 2 + is_written
     if is_written:
         assert (head.author, head.change_id) == (operator, 'c1')
-        office.faults.replace([])
-        again, body = await office.call('POST', path, good, operator)
+        served.faults.replace([])
+        again, body = await served.call('POST', path, good, operator)
         assert (again, body['version']) == (200, 3)
 
 
@@ -125,9 +125,9 @@
     ('operator', 'status'),
     [('reader', 200), ('anna', 200), (None, 401), ('stranger', 401)],
 )
-async def test_reads(office, path, operator, status):
+async def test_reads(served, path, operator, status):
     method = 'POST' if READS[path] else 'GET'
-    came, _ = await office.call(method, path, READS[path], operator)
+    came, _ = await served.call(method, path, READS[path], operator)
     assert came == status
 
 
@@ -238,13 +238,13 @@
         ),
     ],
 )
-async def test_rejections(office, method, path, body, status, code, named):
-    came, answer = await office.call(method, path, body, 'omar')
+async def test_rejections(served, method, path, body, status, code, named):
+    came, answer = await served.call(method, path, body, 'omar')
     assert (came, answer['error']['code']) == (status, code), answer
     assert named in str(answer['error'])
     if code == 'conflict':
         assert answer['error']['author'] == 'omar' or named == 'd0'
-    head = await read_head(office.platform)
+    head = await read_head(served.platform)
     assert head.version == 2
 
 
@@ -258,48 +258,48 @@
         ('omar', '/v1/changes', 200),
     ],
 )
-async def test_roles(office, operator, path, status):
+async def test_roles(served, operator, path, status):
     body = rebase(WRITES[path], 2)
-    came, _ = await office.call('POST', path, body, operator)
+    came, _ = await served.call('POST', path, body, operator)
     assert came == status
 
 
-async def test_withdrawn_operator_commits_nothing(office):
+async def test_withdrawn_operator_commits_nothing(served):
     path = f'/v1/keys/{KEY_ID}/withdraw'
-    await office.call('POST', path, {'change_id': 'c2'}, 'anna')
-    came, answer = await office.call('POST', '/v1/drains', START, 'omar')
+    await served.call('POST', path, {'change_id': 'c2'}, 'anna')
+    came, answer = await served.call('POST', '/v1/drains', START, 'omar')
     assert (came, answer['error']['code']) == (403, 'forbidden')
-    await office.follow()
-    came, answer = await office.call('POST', '/v1/drains', START, 'omar')
+    await served.follow()
+    came, answer = await served.call('POST', '/v1/drains', START, 'omar')
     assert (came, answer['error']['code']) == (401, 'unauthorised')
 
 
-async def test_history_and_blame(office):
+async def test_history_and_blame(served):
     body = rebase(APPLY, 2)
-    await office.call('POST', '/v1/changes', {**body, 'note': 'n'}, 'omar')
-    _, history = await office.call('GET', '/v1/history')
+    await served.call('POST', '/v1/changes', {**body, 'note': 'n'}, 'omar')
+    _, history = await served.call('GET', '/v1/history')
     assert [one['author'] for one in history] == ['omar', 'anna', 'root']
     path = '/v1/blame?path=teams[team-9].rate'
-    _, blamed = await office.call('GET', path)
+    _, blamed = await served.call('GET', path)
     assert [(one['author'], one['setting']) for one in blamed] == [('omar', 1)]
-    _, shown = await office.call('GET', '/v1/configuration?version=3')
+    _, shown = await served.call('GET', '/v1/configuration?version=3')
     assert shown['text'] == TEXT
     restored = {'change_id': 'r', 'base_version': 3, 'version': 1}
-    _, head = await office.call('POST', '/v1/restore', restored)
+    _, head = await served.call('POST', '/v1/restore', restored)
     assert (head['version'], head['author']) == (4, 'anna')
     configuration = await read_section(
-        office.platform, await read_head(office.platform)
+        served.platform, await read_head(served.platform)
     )
     assert 'team-9' not in {team.name for team in configuration.teams}
 
 
 async def test_two_operators_race():
     async with AsyncExitStack() as stack:
-        first = await open_office(stack)
-        second = await open_office(stack, first.platform)
+        first = await open_instance(stack)
+        second = await open_instance(stack, first.platform)
         tries = [
-            _issue_until_done(office, operator, index)
-            for office, operator in ((first, 'anna'), (second, 'omar'))
+            _issue_until_done(served, operator, index)
+            for served, operator in ((first, 'anna'), (second, 'omar'))
             for index in range(100)
         ]
         versions = await asyncio.gather(*tries)
@@ -313,7 +313,7 @@
         assert change_id == 'first' or change_id.startswith(author)
 
 
-async def _issue_until_done(office, operator, index):
+async def _issue_until_done(served, operator, index):
     _, key = mint_key('team-1')
     body = {
         'change_id': f'{operator}-{index}',
@@ -323,20 +323,20 @@
     }
     status = 0
     while status != 200:
-        status, answer = await office.call('POST', '/v1/keys', body, operator)
+        status, answer = await served.call('POST', '/v1/keys', body, operator)
         assert status in {200, 409, 503}
     return answer['version']
 
 
-async def test_secrets_stay_out(office, capfd):
+async def test_secrets_stay_out(served, capfd):
     texts = []
     for path, body in {**WRITES, **READS}.items():
         for operator in SECRETS:
             method = 'POST' if body else 'GET'
-            _, answer = await office.call(method, path, body, operator)
+            _, answer = await served.call(method, path, body, operator)
             texts.append(str(answer))
-    texts.append(str(office.platform.object_store.bodies))
-    texts.append(repr(office.platform.table.rows))
+    texts.append(str(served.platform.object_store.bodies))
+    texts.append(repr(served.platform.table.rows))
     texts.extend(capfd.readouterr())
     for secret in SECRETS.values():
         assert secret[20:] not in ''.join(texts)
