--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -45,6 +45,8 @@
 
 class EditError(CurrantspurError):
     """Report a change that does not fit the newest configuration."""
+
+
 class QuorumError(PlatformError):
     """Report that no majority of committers acknowledged: nothing written."""
 
