--- a/src/currantspur/settings/configuration.py
+++ b/src/currantspur/settings/configuration.py
@@ -60,6 +60,8 @@
         return {
             name: to_plain(member) for name, member in written_fields(message)
         }
+    if isinstance(message, dict):
+        return {name: to_plain(member) for name, member in message.items()}
     if isinstance(message, tuple | list):
         return [to_plain(member) for member in message]
     if isinstance(message, str | int | float | bool):
