Split the link to the platform into tasks with one job each

Cause: one task polled for versions, proofs and members; every instance read the store and announced itself at each poll, and nothing served without the store. Change: readers of store and peers report sightings, a follower brings versions into force (sections fetched only when their object changed, plans of skipped versions handed on), a relay passes proofs and witnesses writes, an archive serves heads and objects to peers, a registrar settles incarnations, a notifier wakes relays, a committee task replaces committers, membership merges the list with direct contact. Settings take seeds.

--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -12,11 +12,12 @@
 from currantspur.tasks import (
     AdmissionTask,
     Clock,
+    Control,
+    EqualShares,
     Exchange,
     Journal,
     Ledger,
     Mailbox,
-    PlatformLink,
     SteeringTask,
     SystemClock,
     TargetPool,
@@ -38,15 +39,16 @@
         'admission',
         'client',
         'clock',
+        'control',
         'jobs',
         'journal',
-        'link',
         'metrics',
         'peer_server',
         'peers',
         'pool',
         'runners',
         'settings',
+        'shares',
         'steering',
         'targets',
         'tracer',
@@ -74,7 +76,8 @@
         )
         self.steering = SteeringTask()
         self.journal = Journal()
-        self.link = self._open_link()
+        self.shares = EqualShares(admission=self.admission.mailbox)
+        self.control = self._open_control()
         self.peer_server = PeerServer(self._peer_mailboxes())
         self.jobs: list[asyncio.Task[None]] = []
         self.runners: list[Any] = []
@@ -102,17 +105,18 @@
         await self.peer_server.start(settings.peer)
         for task in self._tasks():
             self._spawn(task.run())
-        self._spawn(self.link.run())
+        for work in self.control.runs():
+            self._spawn(work)
         logger.info('{} listens at {}', settings.instance, settings.listen)
 
     def is_ready(self) -> bool:
         """Tell whether a version is in force."""
-        return self.link.head is not None
+        return self.control.follower.head is not None
 
     async def stop(self) -> None:
         """Leave the answers, finish what runs, and close."""
         try:
-            await self.link.leave()
+            await self.control.membership_reader.leave()
         except PlatformError as error:
             logger.warning('could not announce leaving: {}', error)
         for runner in self.runners:
@@ -133,12 +137,18 @@
         self.jobs.append(asyncio.create_task(work))
 
     def _peer_mailboxes(self) -> dict[type[Message], Mailbox]:
-        return {}
+        return self.control.questions()
 
     def _tasks(self) -> tuple[Task, ...]:
-        return (self.admission, self.pool, self.steering, self.journal)
+        return (
+            self.admission,
+            self.pool,
+            self.steering,
+            self.journal,
+            self.shares,
+        )
 
-    def _open_link(self) -> PlatformLink:
+    def _open_control(self) -> Control:
         settings = self.settings
         instance = Instance(
             name=settings.instance,
@@ -146,22 +156,28 @@
             peer=settings.peer,
             availability_zone=settings.availability_zone,
         )
-        tasks = (self.admission, self.pool, self.steering)
-        return PlatformLink(
+        tasks = (self.admission, self.pool, self.steering, self.shares)
+        return Control(
             platform=open_platform(self.client),
+            peers=self.peers,
             instance=instance,
             clock=self.clock,
             poll_s=settings.poll_s,
-            readers=[task.mailbox for task in tasks],
             journal=self.journal.mailbox,
+            readers=[task.mailbox for task in tasks],
+            seeds=map(_name_seed, settings.seeds),
         )
 
     def _open_exchange(self) -> Exchange:
         return Exchange(
             admission=self.admission.mailbox,
             pool=self.pool.mailbox,
-            ledger=Ledger(table=self.link.platform.table),
+            ledger=Ledger(table=self.control.platform.table),
             targets=self.targets,
             clock=self.clock,
             tracer=self.tracer,
         )
+
+
+def _name_seed(peer: str) -> Instance:
+    return Instance(name='', address='', peer=peer, availability_zone='')
--- a/src/currantspur/decisions/membership.py
+++ b/src/currantspur/decisions/membership.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+import xxhash
+
 from currantspur.messages import Instance
 
 FAILURES_TO_DOUBT = 3
@@ -9,6 +11,11 @@
 KEPT_S = 10.0
 
 
+def digest_members(instances: Iterable[Instance]) -> str:
+    """Return a digest that differs when any member differs."""
+    return xxhash.xxh3_64_hexdigest(repr(list(instances)).encode())
+
+
 class Sight:
     """Count what direct contact with one instance showed."""
 
--- a/src/currantspur/messages/control.py
+++ b/src/currantspur/messages/control.py
@@ -102,10 +102,78 @@
         self.source = source
 
 
+class Sighting(Message):
+    """Report that a version was seen as the newest, and where."""
+
+    __slots__ = ('head', 'proof', 'source')
+
+    def __init__(
+        self,
+        *,
+        proof: Proof,
+        head: Head | None = None,
+        source: Instance | None = None,
+    ) -> None:
+        """Take the head if the store gave it, else the peer that knows it."""
+        self.proof = proof
+        self.head = head
+        self.source = source
+
+
+class Registration(Message):
+    """Begin the registration of a committer, or finish it under a row."""
+
+    __slots__ = ('newest', 'row_version')
+
+    def __init__(
+        self, *, row_version: int | None = None, newest: int = 0
+    ) -> None:
+        self.row_version = row_version
+        self.newest = newest
+
+
+class WitnessQuery(Message):
+    """Ask the own witness how it stands."""
+
+    __slots__ = ()
+
+
+class WitnessState(Message):
+    """Say whether the witness is registered and how old its open writes are."""
+
+    __slots__ = ('is_registered', 'oldest_s')
+
+    def __init__(self, *, is_registered: bool, oldest_s: float) -> None:
+        self.is_registered = is_registered
+        self.oldest_s = oldest_s
+
+
+class PeerSight(Message):
+    """Report that a peer answered, or did not."""
+
+    __slots__ = ('answered', 'name')
+
+    def __init__(self, *, name: str, answered: bool) -> None:
+        self.name = name
+        self.answered = answered
+
+
+class Listed(Message):
+    """Report whom the platform lists, or whom a peer knows."""
+
+    __slots__ = ('by_peer', 'instances')
+
+    def __init__(
+        self, *, instances: tuple[Instance, ...], by_peer: bool
+    ) -> None:
+        self.instances = instances
+        self.by_peer = by_peer
+
+
 class InForce(Message):
     """Bring a version into force on a task."""
 
-    __slots__ = ('configuration', 'head', 'plan')
+    __slots__ = ('configuration', 'head', 'plan', 'skipped')
 
     def __init__(
         self,
@@ -113,10 +181,13 @@
         head: Head,
         configuration: Configuration,
         plan: Plan | None = None,
+        skipped: tuple[Plan, ...] | None = (),
     ) -> None:
+        """Take the plans of versions never held; None: too many to know."""
         self.head = head
         self.configuration = configuration
         self.plan = plan or Plan()
+        self.skipped = skipped
 
 
 class Membership(Message):
--- a/src/currantspur/messages/peer.py
+++ b/src/currantspur/messages/peer.py
@@ -155,18 +155,22 @@
 
 
 class MembersRequest(Message):
-    """Ask a peer which instances it knows."""
+    """Ask a peer which instances it knows, unless the digest still fits."""
 
-    __slots__ = ('asker',)
+    __slots__ = ('asker', 'digest')
 
-    def __init__(self, *, asker: str) -> None:
+    def __init__(self, *, asker: str, digest: str = '') -> None:
         self.asker = asker
+        self.digest = digest
 
 
 class MembersAnswer(Message):
-    """Pass the known instances on."""
+    """Pass the known instances on; none where the digest fitted."""
 
-    __slots__ = ('instances',)
+    __slots__ = ('digest', 'instances')
 
-    def __init__(self, *, instances: tuple[Instance, ...]) -> None:
+    def __init__(
+        self, *, instances: tuple[Instance, ...], digest: str = ''
+    ) -> None:
         self.instances = instances
+        self.digest = digest
--- a/src/currantspur/messages/plan.py
+++ b/src/currantspur/messages/plan.py
@@ -28,19 +28,28 @@
 class Plan(Message):
     """Split every limit; the parts of a limit sum to no more than it."""
 
-    __slots__ = ('allotments',)
-
-    def __init__(self, *, allotments: tuple[Allotment, ...] = ()) -> None:
+    __slots__ = ('allotments', 'totals')
+
+    def __init__(
+        self,
+        *,
+        allotments: tuple[Allotment, ...] = (),
+        totals: dict[str, Part] | None = None,
+    ) -> None:
+        """Take the parts and the totals by limit that they were cut from."""
         self.allotments = allotments
+        self.totals = totals or {}
 
 
 class Parts(Message):
     """Set the parts that this instance may use from now on, by limit."""
 
-    __slots__ = ('by_limit',)
+    __slots__ = ('by_limit', 'version')
 
-    def __init__(self, *, by_limit: dict[str, Part]) -> None:
+    def __init__(self, *, by_limit: dict[str, Part], version: int = 0) -> None:
+        """Take the parts and the newest version that they allow for."""
         self.by_limit = by_limit
+        self.version = version
 
 
 def name_team_limit(team: str) -> str:
--- a/src/currantspur/platform/versions.py
+++ b/src/currantspur/platform/versions.py
@@ -6,7 +6,7 @@
 import orjson
 import xxhash
 
-from currantspur.errors import ConflictError, QuorumError
+from currantspur.errors import ConflictError, ObjectMissingError, QuorumError
 from currantspur.messages import (
     Change,
     Configuration,
@@ -43,9 +43,12 @@
 
 def decode_head(row: Row | None) -> Head | None:
     """Return the head that a row holds."""
-    if row is None:
-        return None
-    return Head(**orjson.loads(row.text))
+    return decode_head_text(row.text) if row else None
+
+
+def decode_head_text(text: str) -> Head:
+    """Return the head that a text describes."""
+    return Head(**orjson.loads(text))
 
 
 def encode_head(head: Head) -> str:
@@ -59,6 +62,15 @@
     return decode_head(rows.get(HEAD_KEY))
 
 
+async def read_version(platform: Platform, version: int) -> Head:
+    """Return the head of a past version."""
+    key = name_version(version)
+    rows = await platform.table.read([key])
+    if key not in rows:
+        raise ObjectMissingError(key)
+    return decode_head_text(rows[key].text)
+
+
 async def read_section(platform: Platform, head: Head) -> Configuration:
     """Return the configuration that a head names."""
     name = head.sections[CONFIGURATION_SECTION]
@@ -105,14 +117,23 @@
 async def draft_head(
     platform: Platform, change: Change, names: dict[str, str]
 ) -> Draft:
-    """Read where the change stands; raise ConflictError if it lost."""
-    own_row = name_version(change.base_version + 1)
-    rows = await platform.table.read([HEAD_KEY, own_row])
+    """Read where the change stands; raise ConflictError if it lost.
+
+    A change moves to a newer base whose configuration, and whose sections
+    that it writes, are those of its own base.
+    """
+    own_row = name_change(change.change_id)
+    base_row = name_version(change.base_version)
+    next_row = name_version(change.base_version + 1)
+    rows = await platform.table.read([HEAD_KEY, base_row, next_row, own_row])
+    own = rows.get(own_row)
+    if own is not None:
+        head = await read_version(platform, int(own.text))
+        return Draft(head=head, is_landed=True)
     newest = decode_head(rows.get(HEAD_KEY))
-    winner = decode_head(rows.get(own_row))
-    if winner is not None and winner.change_id == change.change_id:
-        return Draft(head=winner, is_landed=True)
-    _check_base(newest, winner, change)
+    if newest and _is_movable(change, decode_head(rows.get(base_row)), newest):
+        change.base_version = newest.version
+    _check_base(newest, decode_head(rows.get(next_row)), change)
     if newest is None:
         return Draft(head=_next_head(change, names))
     return Draft(
@@ -126,16 +147,21 @@
     platform: Platform, draft: Draft, conditions: Mapping[str, int]
 ) -> Head:
     """Write a draft under conditions, unless it has landed before."""
+    head = draft.head
     if draft.is_landed:
-        return draft.head
-    text = encode_head(draft.head)
+        return head
+    text = encode_head(head)
     await platform.table.commit(
         Transaction(
             conditions={**conditions, HEAD_KEY: draft.expected},
-            writes={HEAD_KEY: text, name_version(draft.head.version): text},
+            writes={
+                HEAD_KEY: text,
+                name_version(head.version): text,
+                name_change(head.change_id): str(head.version),
+            },
         )
     )
-    return draft.head
+    return head
 
 
 def name_version(version: int) -> str:
@@ -143,6 +169,11 @@
     return f'version/{version:012}'
 
 
+def name_change(change_id: str) -> str:
+    """Return the key of the row that tells the version of a change."""
+    return f'change/{change_id}'
+
+
 def name_committer(instance: str) -> str:
     """Return the key of the row of a committer's newest incarnation."""
     return f'committer/{instance}'
@@ -159,6 +190,16 @@
     return name
 
 
+def _is_movable(change: Change, base: Head | None, newest: Head) -> bool:
+    if base is None or newest.version <= base.version:
+        return False
+    watched = (CONFIGURATION_SECTION, *change.sections)
+    return all(
+        base.sections.get(section) == newest.sections.get(section)
+        for section in watched
+    )
+
+
 def _next_head(change: Change, sections: dict[str, str]) -> Head:
     return Head(
         version=change.base_version + 1,
--- a/src/currantspur/settings/daemon.py
+++ b/src/currantspur/settings/daemon.py
@@ -24,6 +24,7 @@
         'peer',
         'platform',
         'poll_s',
+        'seeds',
     )
 
     def __init__(
@@ -39,6 +40,7 @@
         freshness_s: float = FRESHNESS_S,
         poll_s: float = POLL_S,
         leave_s: float = LEAVE_S,
+        seeds: tuple[str, ...] = (),
     ) -> None:
         """Take addresses as IP numbers with ports and times in seconds."""
         self.instance = instance
@@ -51,6 +53,7 @@
         self.freshness_s = freshness_s
         self.poll_s = poll_s
         self.leave_s = leave_s
+        self.seeds = seeds
 
 
 def read_daemon_settings(text: str, *, file: str) -> DaemonSettings:
@@ -70,6 +73,7 @@
         ),
         poll_s=root.number('poll_s', POLL_S, low=SHORTEST_S, high=LONGEST_S),
         leave_s=root.number('leave_s', LEAVE_S, high=LONGEST_S),
+        seeds=tuple(seed.address('peer') for seed in root.each('seeds')),
     )
     root.finish()
     document.close()
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -2,13 +2,18 @@
 
 from currantspur.tasks.admission import AdmissionTask
 from currantspur.tasks.clock import Clock, SystemClock
-from currantspur.tasks.committer import Committer, DirectCommitter
+from currantspur.tasks.committer import (
+    Committer,
+    DirectCommitter,
+    QuorumCommitter,
+)
+from currantspur.tasks.control import Control
 from currantspur.tasks.exchange import Exchange, TargetPort
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.ledger import Ledger
 from currantspur.tasks.mailbox import Letter, Mailbox
 from currantspur.tasks.peers import PeerPort
-from currantspur.tasks.platform_link import PlatformLink
+from currantspur.tasks.shares import EqualShares
 from currantspur.tasks.steering import SteeringTask
 from currantspur.tasks.targets import TargetPool
 from currantspur.tasks.task import Task
@@ -17,14 +22,16 @@
     'AdmissionTask',
     'Clock',
     'Committer',
+    'Control',
     'DirectCommitter',
+    'EqualShares',
     'Exchange',
     'Journal',
     'Ledger',
     'Letter',
     'Mailbox',
     'PeerPort',
-    'PlatformLink',
+    'QuorumCommitter',
     'SteeringTask',
     'SystemClock',
     'TargetPool',
--- /dev/null
+++ b/src/currantspur/tasks/control.py
@@ -0,0 +1,194 @@
+"""Assemble the tasks by which an instance follows the fleet."""
+
+from collections.abc import Coroutine, Iterable, Iterator
+from typing import Any
+
+from currantspur.messages import (
+    HeadRequest,
+    Instance,
+    MembersRequest,
+    Message,
+    ObjectRequest,
+    ProofRequest,
+    VersionNotice,
+    WriteIntent,
+)
+from currantspur.platform import Platform
+from currantspur.tasks.archive import Archive
+from currantspur.tasks.clock import Clock
+from currantspur.tasks.committee import CommitteeTask
+from currantspur.tasks.committer import QuorumCommitter
+from currantspur.tasks.fetching import Fetcher
+from currantspur.tasks.follower import Follower
+from currantspur.tasks.mailbox import Mailbox
+from currantspur.tasks.membership import (
+    MembershipReader,
+    MembershipTask,
+    ObservedPeers,
+)
+from currantspur.tasks.notifier import Notifier
+from currantspur.tasks.peer_reader import PeerReader
+from currantspur.tasks.peers import PeerPort
+from currantspur.tasks.proof_relay import ProofRelay
+from currantspur.tasks.quorum import Quorum
+from currantspur.tasks.registrar import Registrar
+from currantspur.tasks.store_reader import StoreReader
+
+
+class Control:
+    """Join store, peers, versions, proofs and members of one instance."""
+
+    __slots__ = (
+        'archive',
+        'clock',
+        'committee',
+        'committer',
+        'fetcher',
+        'follower',
+        'instance',
+        'membership',
+        'membership_reader',
+        'notifier',
+        'peer_reader',
+        'peers',
+        'platform',
+        'poll_s',
+        'quorum',
+        'readers',
+        'registrar',
+        'relay',
+        'seeds',
+        'store_reader',
+    )
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        peers: PeerPort,
+        instance: Instance,
+        clock: Clock,
+        poll_s: float,
+        journal: Mailbox,
+        readers: Iterable[Mailbox],
+        seeds: Iterable[Instance] = (),
+    ) -> None:
+        """Take the mailboxes that want versions, proofs and members."""
+        self.platform = platform
+        self.instance = instance
+        self.clock = clock
+        self.poll_s = poll_s
+        self.seeds = tuple(seeds)
+        self.readers = list(readers)
+        self.archive = Archive()
+        self.membership = MembershipTask(clock=clock, readers=self.readers)
+        self.peers = ObservedPeers(peers, self.membership.mailbox)
+        self.fetcher = Fetcher(peers=self.peers, platform=platform)
+        self.relay = ProofRelay(name=instance.name, clock=clock)
+        self.quorum = Quorum(
+            name=instance.name, peers=self.peers, local=self.relay.mailbox
+        )
+        self.follower = Follower(
+            name=instance.name,
+            fetcher=self.fetcher,
+            clock=clock,
+            archive=self.archive.mailbox,
+            journal=journal,
+            readers=self.readers,
+        )
+        self.membership_reader = self._open_membership_reader()
+        self.store_reader = self._open_store_reader()
+        self.peer_reader = self._open_peer_reader()
+        self.notifier = Notifier(
+            name=instance.name,
+            peers=self.peers,
+            readers=(self.store_reader.mailbox, self.peer_reader.mailbox),
+        )
+        self.committer = self._open_committer()
+        self.registrar = self._open_registrar()
+        self.committee = CommitteeTask(
+            name=instance.name, committer=self.committer, clock=clock
+        )
+        self.readers.extend(self._mailboxes())
+
+    def runs(self) -> Iterator[Coroutine[Any, Any, None]]:
+        """Yield what has to run, a coroutine a task."""
+        yield self.archive.run()
+        yield self.membership.run()
+        yield self.relay.run()
+        yield self.follower.run()
+        yield self.membership_reader.run()
+        yield self.store_reader.run()
+        yield self.peer_reader.run()
+        yield self.notifier.run()
+        yield self.registrar.run()
+        yield self.committee.run()
+
+    def questions(self) -> dict[type[Message], Mailbox]:
+        """Return the mailbox that answers each class of peers' questions."""
+        return {
+            HeadRequest: self.archive.mailbox,
+            MembersRequest: self.membership.mailbox,
+            ObjectRequest: self.archive.mailbox,
+            ProofRequest: self.relay.mailbox,
+            VersionNotice: self.notifier.mailbox,
+            WriteIntent: self.relay.mailbox,
+        }
+
+    def _mailboxes(self) -> Iterator[Mailbox]:
+        yield self.relay.mailbox
+        yield self.follower.mailbox
+        yield self.membership_reader.mailbox
+        yield self.store_reader.mailbox
+        yield self.peer_reader.mailbox
+        yield self.notifier.mailbox
+        yield self.registrar.mailbox
+        yield self.committee.mailbox
+
+    def _open_membership_reader(self) -> MembershipReader:
+        return MembershipReader(
+            instance=self.instance,
+            instances=self.platform.instances,
+            peers=self.peers,
+            roster=self.membership.mailbox,
+            clock=self.clock,
+            seeds=self.seeds,
+        )
+
+    def _open_store_reader(self) -> StoreReader:
+        return StoreReader(
+            platform=self.platform,
+            instance=self.instance,
+            clock=self.clock,
+            poll_s=self.poll_s,
+            follower=self.follower.mailbox,
+        )
+
+    def _open_peer_reader(self) -> PeerReader:
+        return PeerReader(
+            instance=self.instance,
+            peers=self.peers,
+            quorum=self.quorum,
+            fetcher=self.fetcher,
+            clock=self.clock,
+            poll_s=self.poll_s,
+            follower=self.follower.mailbox,
+            seeds=self.seeds,
+        )
+
+    def _open_committer(self) -> QuorumCommitter:
+        return QuorumCommitter(
+            platform=self.platform,
+            quorum=self.quorum,
+            clock=self.clock,
+            members=self.membership.mailbox,
+            notices=self.notifier.mailbox,
+        )
+
+    def _open_registrar(self) -> Registrar:
+        return Registrar(
+            name=self.instance.name,
+            platform=self.platform,
+            relay=self.relay.mailbox,
+            clock=self.clock,
+        )
--- a/tests/test_peer_grpc.py
+++ b/tests/test_peer_grpc.py
@@ -52,7 +52,10 @@
     (HeadRequest(version=7), HeadAnswer(text='{}')),
     (ObjectRequest(name='a/b'), ObjectAnswer(found=True, body=b'\0\xff')),
     (MembersRequest(asker='two'), MembersAnswer(instances=(PEER, PEER))),
-    (MembersRequest(asker=''), MembersAnswer(instances=())),
+    (
+        MembersRequest(asker='', digest='d'),
+        MembersAnswer(instances=(), digest='d'),
+    ),
 ]
 
 
