Carry requests whole, retry within a budget, claim in batches

Cause: an exchange could be sent again by the HTTP library (GET, PUT and DELETE over a kept connection that is reset), an answer's id was not compared, a caller that left kept its slot, claims took a transaction each.

Change: the library's resend is turned off by a client middleware; whether a byte may have left is known from the connection traces; non-idempotent requests use a new connection; answers with another id are errors; retries go to another target within deadline and a budget and never wait; targets that fail in a row are taken out and return gradually; teams queue fairly; after every wait key, freshness and deadline are confirmed; claims share transactions, keep answers and are given up by their holder alone.

--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -11,10 +11,11 @@
 from currantspur.settings import DaemonSettings
 from currantspur.tasks import (
     AdmissionTask,
+    Attempts,
+    ClaimTask,
     Clock,
     Exchange,
     Journal,
-    Ledger,
     PlatformLink,
     SteeringTask,
     SystemClock,
@@ -34,6 +35,7 @@
 
     __slots__ = (
         'admission',
+        'claims',
         'client',
         'clock',
         'jobs',
@@ -62,12 +64,16 @@
         self.admission = AdmissionTask(
             clock=self.clock, freshness_s=settings.freshness_s
         )
+        self.journal = Journal()
         self.pool = TargetPool(
-            clock=self.clock, availability_zone=settings.availability_zone
+            clock=self.clock,
+            availability_zone=settings.availability_zone,
+            instance=settings.instance,
+            journal=self.journal.mailbox,
         )
         self.steering = SteeringTask()
-        self.journal = Journal()
         self.link = self._open_link()
+        self.claims = ClaimTask(platform=self.link.platform, clock=self.clock)
         self.jobs: list[asyncio.Task[None]] = []
         self.runners: list[Any] = []
 
@@ -119,7 +125,13 @@
         self.jobs.append(asyncio.create_task(work))
 
     def _tasks(self) -> tuple[Task, ...]:
-        return (self.admission, self.pool, self.steering, self.journal)
+        return (
+            self.admission,
+            self.claims,
+            self.pool,
+            self.steering,
+            self.journal,
+        )
 
     def _open_link(self) -> PlatformLink:
         settings = self.settings
@@ -142,9 +154,13 @@
     def _open_exchange(self) -> Exchange:
         return Exchange(
             admission=self.admission.mailbox,
-            pool=self.pool.mailbox,
-            ledger=Ledger(table=self.link.platform.table),
-            targets=self.targets,
-            clock=self.clock,
+            claims=self.claims.mailbox,
+            attempts=Attempts(
+                admission=self.admission.mailbox,
+                pool=self.pool.mailbox,
+                targets=self.targets,
+                clock=self.clock,
+                tracer=self.tracer,
+            ),
             tracer=self.tracer,
         )
--- a/src/currantspur/decisions/identity.py
+++ b/src/currantspur/decisions/identity.py
@@ -23,8 +23,8 @@
     def __init__(self, keys: Iterable[Key]) -> None:
         self.keys = {key.key_id: key for key in keys}
 
-    def find_team(self, secret_key: str) -> str | None:
-        """Return the team of a key, in constant time for each key id."""
+    def find(self, secret_key: str) -> Key | None:
+        """Return what is kept of a key, in constant time for each key id."""
         matched = KEY_PATTERN.fullmatch(secret_key)
         if matched is None:
             return None
@@ -32,7 +32,11 @@
         key = self.keys.get(key_id)
         expected = key.digest if key else _NO_DIGEST
         is_right = hmac.compare_digest(digest_secret(key_id, secret), expected)
-        return key.team if key and is_right else None
+        return key if is_right else None
+
+    def holds(self, key_id: str | None) -> bool:
+        """Tell whether a key that was found before is still there."""
+        return key_id in self.keys
 
 
 def digest_secret(key_id: str, secret: str) -> str:
--- a/src/currantspur/decisions/slots.py
+++ b/src/currantspur/decisions/slots.py
@@ -1,55 +1,131 @@
 """Choose a target and count the slots in use."""
 
 from currantspur.decisions.drains import is_draining
-from currantspur.messages import Configuration, Target
+from currantspur.decisions.ejection import Ejector
+from currantspur.messages import (
+    Configuration,
+    Part,
+    Target,
+    Verdict,
+    name_slots_limit,
+)
+
+DRAIN_CHECK_S = 0.25
+SLOTS_PREFIX = name_slots_limit('')
 
 
 class SlotTable:
     """Count the requests that each target runs for this instance."""
 
-    __slots__ = ('availability_zone', 'configuration', 'running', 'targets')
+    __slots__ = (
+        'availability_zone',
+        'by_service',
+        'checked_at',
+        'configuration',
+        'ejector',
+        'open',
+        'parts',
+        'running',
+        'turn',
+        'turns',
+    )
 
     def __init__(self, *, availability_zone: str) -> None:
         self.availability_zone = availability_zone
         self.configuration = Configuration()
-        self.targets: dict[str, Target] = {}
+        self.ejector = Ejector()
+        self.by_service: dict[str, list[Target]] = {}
+        self.open: dict[str, list[Target]] = {}
+        self.checked_at = float('-inf')
+        self.parts: dict[str, int] | None = None
         self.running: dict[str, int] = {}
+        self.turns: dict[str, int] = {}
+        self.turn = 0
 
     def replace(self, configuration: Configuration) -> None:
         """Take a new list; running requests keep their count."""
         self.configuration = configuration
-        self.targets = {target.name: target for target in configuration.targets}
+        self.by_service = {}
+        for target in configuration.targets:
+            self.by_service.setdefault(target.service, []).append(target)
+        self.checked_at = float('-inf')
+
+    def allot(self, by_limit: dict[str, Part]) -> None:
+        """Take this instance's parts of the slots, once any are planned."""
+        parts = {
+            limit.removeprefix(SLOTS_PREFIX): int(part.burst)
+            for limit, part in by_limit.items()
+            if limit.startswith(SLOTS_PREFIX)
+        }
+        if parts or self.parts is not None:
+            self.parts = parts
 
     def take(
-        self, service: str, *, without: frozenset[str], unix_s: float
+        self, service: str, *, without: frozenset[str], at: float, unix_s: float
     ) -> Target | None:
         """Take a slot of the least used target, own availability zone first."""
+        self._check_drains(unix_s)
         free = [
             target
-            for target in self.targets.values()
-            if target.service == service
-            and target.name not in without
-            and self.count(target) < target.slots
-            and not is_draining(self.configuration, target, unix_s)
+            for target in self.open.get(service, ())
+            if target.name not in without
+            and self.count(target) < self.usable(target, at)
         ]
         if not free:
             return None
         chosen = min(free, key=self._rank)
+        self.turn += 1
+        self.turns[chosen.name] = self.turn
         self.running[chosen.name] = self.count(chosen) + 1
         return chosen
 
-    def give_back(self, target: Target) -> None:
-        """Free a slot."""
+    def give_back(self, target: Target, verdict: Verdict, at: float) -> bool:
+        """Free a slot; tell whether the target was taken out for it."""
         left = self.count(target) - 1
         if left > 0:
             self.running[target.name] = left
         else:
             self.running.pop(target.name, None)
+        fellows = [one.name for one in self.by_service.get(target.service, ())]
+        return self.ejector.note(target.name, verdict, fellows=fellows, at=at)
 
     def count(self, target: Target) -> int:
         """Return the slots of a target that are in use."""
         return self.running.get(target.name, 0)
 
-    def _rank(self, target: Target) -> tuple[bool, float]:
+    def allotted(self, target: Target) -> int:
+        """Return the slots of a target that are this instance's."""
+        if self.parts is None:
+            return target.slots
+        return self.parts.get(target.name, 0)
+
+    def usable(self, target: Target, at: float) -> int:
+        """Return the slots that may be used now; a suspect has fewer."""
+        slots = self.allotted(target)
+        share = self.ejector.share(target.name, at)
+        if share >= 1:
+            return slots
+        return min(slots, max(1, int(slots * share))) if share else 0
+
+    def capacity(self, service: str, at: float) -> int:
+        """Return the slots of a service that may be used now."""
+        targets = self.open.get(service, ())
+        return sum(self.usable(target, at) for target in targets)
+
+    def _check_drains(self, unix_s: float) -> None:
+        if abs(unix_s - self.checked_at) < DRAIN_CHECK_S:
+            return
+        self.checked_at = unix_s
+        self.open = {
+            service: [
+                target
+                for target in targets
+                if not is_draining(self.configuration, target, unix_s)
+            ]
+            for service, targets in self.by_service.items()
+        }
+
+    def _rank(self, target: Target) -> tuple[bool, float, int]:
         is_far = target.availability_zone != self.availability_zone
-        return is_far, self.count(target) / target.slots
+        used = self.count(target) / target.slots
+        return is_far, used, self.turns.get(target.name, 0)
--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -58,3 +58,18 @@
         """Take whether a byte of the request may have left."""
         super().__init__(detail)
         self.sent = sent
+
+
+class TargetShedError(TargetError):
+    """Report that a target said that it shed the request unrun."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail, sent=False)
+
+
+class TargetTimeoutError(TargetError):
+    """Report that the time of an exchange with a target ran out."""
+
+
+class BodyCutError(CurrantspurError):
+    """Report that a caller's body ended before its end."""
--- a/src/currantspur/messages/__init__.py
+++ b/src/currantspur/messages/__init__.py
@@ -1,6 +1,12 @@
 """Re-export the messages that tasks, filters and front ends pass."""
 
 from currantspur.messages.base import Message, fields
+from currantspur.messages.claims import (
+    Claim,
+    ClaimRequest,
+    ClaimResult,
+    StoredAnswer,
+)
 from currantspur.messages.configuration import (
     Block,
     Configuration,
@@ -43,7 +49,9 @@
     AnswerHead,
     Arrival,
     Assignment,
+    Confirmation,
     Entry,
+    Expiry,
     LookupAnswer,
     LookupQuery,
     Outgoing,
@@ -51,6 +59,7 @@
     Refusal,
     SlotRelease,
     SlotRequest,
+    Verdict,
 )
 
 __all__ = (
@@ -61,11 +70,16 @@
     'Assignment',
     'Block',
     'Change',
+    'Claim',
+    'ClaimRequest',
+    'ClaimResult',
     'Configuration',
+    'Confirmation',
     'Decision',
     'Drain',
     'Entry',
     'Evidence',
+    'Expiry',
     'Head',
     'InForce',
     'Instance',
@@ -92,8 +106,10 @@
     'SlotRelease',
     'SlotRequest',
     'Steering',
+    'StoredAnswer',
     'Target',
     'Team',
+    'Verdict',
     'fields',
     'name_link_limit',
     'name_region_limit',
--- a/src/currantspur/messages/traffic.py
+++ b/src/currantspur/messages/traffic.py
@@ -21,6 +21,7 @@
     'store_away',
     'target_failed',
 ]
+Verdict = Literal['succeeded', 'failed', 'shed', 'unknown']
 
 
 class Refusal(Message):
@@ -79,24 +80,40 @@
 class Passage(Message):
     """Carry an arrival through the filters with what they found out."""
 
-    __slots__ = ('arrival', 'deadline', 'refusal', 'route', 'team')
+    __slots__ = ('arrival', 'deadline', 'key_id', 'refusal', 'route', 'team')
 
     def __init__(self, *, arrival: Arrival) -> None:
         self.arrival = arrival
         self.route: Route | None = None
         self.team: str | None = None
+        self.key_id: str | None = None
         self.deadline = arrival.deadline
         self.refusal: Refusal | None = None
 
 
+class Confirmation(Message):
+    """Ask whether an admitted passage may still be carried."""
+
+    __slots__ = ('at', 'passage', 'refusal')
+
+    def __init__(self, *, passage: Passage, at: float = 0.0) -> None:
+        self.passage = passage
+        self.at = at
+        self.refusal: Refusal | None = None
+
+
 class Assignment(Message):
     """Give one slot of a target to a request until it is released."""
 
-    __slots__ = ('request_id', 'target')
+    __slots__ = ('request_id', 'taken_at', 'target')
 
-    def __init__(self, *, request_id: str, target: Target) -> None:
+    def __init__(
+        self, *, request_id: str, target: Target, taken_at: float = 0.0
+    ) -> None:
+        """Take when the slot was given in monotonic seconds."""
         self.request_id = request_id
         self.target = target
+        self.taken_at = taken_at
 
 
 class LookupQuery(Message):
@@ -187,7 +204,14 @@
 class SlotRequest(Message):
     """Ask for a slot of a target before the deadline."""
 
-    __slots__ = ('deadline', 'request_id', 'service', 'team', 'without')
+    __slots__ = (
+        'attempt',
+        'deadline',
+        'request_id',
+        'service',
+        'team',
+        'without',
+    )
 
     def __init__(
         self,
@@ -197,6 +221,7 @@
         team: str | None,
         deadline: float,
         without: frozenset[str] | None = None,
+        attempt: int = 0,
     ) -> None:
         """Take the deadline in monotonic seconds and targets to leave out."""
         self.request_id = request_id
@@ -204,13 +229,20 @@
         self.team = team
         self.deadline = deadline
         self.without = without or frozenset()
+        self.attempt = attempt
 
 
 class SlotRelease(Message):
     """Give a slot back with what came of the exchange."""
 
-    __slots__ = ('assignment', 'succeeded')
+    __slots__ = ('assignment', 'verdict')
 
-    def __init__(self, *, assignment: Assignment, succeeded: bool) -> None:
+    def __init__(self, *, assignment: Assignment, verdict: Verdict) -> None:
         self.assignment = assignment
-        self.succeeded = succeeded
+        self.verdict = verdict
+
+
+class Expiry(Message):
+    """Remind a task that the time of something it holds has come."""
+
+    __slots__ = ()
--- a/src/currantspur/pipelines/__init__.py
+++ b/src/currantspur/pipelines/__init__.py
@@ -1,6 +1,7 @@
 """Join filters into the pipelines that each stream of messages runs through."""
 
 from currantspur.pipelines.admission import AdmissionState, assemble_admission
+from currantspur.pipelines.confirmation import assemble_confirmation
 from currantspur.pipelines.filter import Filter, Gate, Pipeline
 from currantspur.pipelines.lookup import assemble_lookup
 
@@ -10,5 +11,6 @@
     'Gate',
     'Pipeline',
     'assemble_admission',
+    'assemble_confirmation',
     'assemble_lookup',
 )
--- a/src/currantspur/pipelines/admission.py
+++ b/src/currantspur/pipelines/admission.py
@@ -94,11 +94,13 @@
             return None
         if key is None:
             return Refusal(code='key_missing', detail='the route needs a key')
-        passage.team = self.state.keys.find_team(key)
-        if passage.team is None:
+        found = self.state.keys.find(key)
+        if found is None:
             return Refusal(
                 code='key_unknown', detail='the key is unknown or withdrawn'
             )
+        passage.team = found.team
+        passage.key_id = found.key_id
         return None
 
 
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -1,11 +1,13 @@
 """Run tasks that own their state and talk by messages."""
 
 from currantspur.tasks.admission import AdmissionTask
+from currantspur.tasks.attempts import Attempts, TargetPort
+from currantspur.tasks.body import BodySource, RequestBody
+from currantspur.tasks.claims import ClaimTask
 from currantspur.tasks.clock import Clock, SystemClock
 from currantspur.tasks.committer import Committer, DirectCommitter
-from currantspur.tasks.exchange import Exchange, TargetPort
+from currantspur.tasks.exchange import Exchange
 from currantspur.tasks.journal import Journal
-from currantspur.tasks.ledger import Ledger
 from currantspur.tasks.mailbox import Letter, Mailbox
 from currantspur.tasks.peers import PeerPort
 from currantspur.tasks.platform_link import PlatformLink
@@ -15,16 +17,19 @@
 
 __all__ = (
     'AdmissionTask',
+    'Attempts',
+    'BodySource',
+    'ClaimTask',
     'Clock',
     'Committer',
     'DirectCommitter',
     'Exchange',
     'Journal',
-    'Ledger',
     'Letter',
     'Mailbox',
     'PeerPort',
     'PlatformLink',
+    'RequestBody',
     'SteeringTask',
     'SystemClock',
     'TargetPool',
--- a/src/currantspur/tasks/exchange.py
+++ b/src/currantspur/tasks/exchange.py
@@ -1,72 +1,53 @@
-"""Carry one request: admit, take a slot, forward, give the slot back."""
+"""Carry one request: admit, claim, send, note what came of the claim."""
 
-from abc import ABC, abstractmethod
-from collections.abc import AsyncGenerator, AsyncIterator
+import asyncio
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
 from uuid import uuid4
 
 from opentelemetry.trace import Tracer
 
-from currantspur.errors import TargetError
+from currantspur.decisions.claims import fingerprint_request
 from currantspur.messages import (
     AnswerChunk,
     AnswerHead,
     Arrival,
-    Assignment,
+    Claim,
+    ClaimRequest,
+    ClaimResult,
     Outgoing,
     Passage,
     Refusal,
-    SlotRelease,
-    SlotRequest,
-    Target,
+    StoredAnswer,
 )
-from currantspur.tasks.clock import Clock
-from currantspur.tasks.ledger import Ledger
+from currantspur.tasks.attempts import Attempt, Attempts, Part
+from currantspur.tasks.body import RequestBody
 from currantspur.tasks.mailbox import Mailbox
+from currantspur.tasks.recording import Recording
 
-Part = AnswerHead | AnswerChunk | Refusal
-
-
-class TargetPort(ABC):
-    """Send requests to targets."""
-
-    __slots__ = ()
-
-    @abstractmethod
-    def send(
-        self,
-        target: Target,
-        outgoing: Outgoing,
-        body: AsyncIterator[bytes],
-        *,
-        timeout_s: float,
-    ) -> AsyncIterator[AnswerHead | AnswerChunk]:
-        """Yield the answer; raise TargetError where it fails or is cut."""
+Claimed = Claim | StoredAnswer | Refusal
 
 
 class Exchange:
-    """Take requests through admission, slots and targets."""
+    """Take requests through admission, claims and targets."""
 
-    __slots__ = ('admission', 'clock', 'ledger', 'pool', 'targets', 'tracer')
+    __slots__ = ('admission', 'attempts', 'claims', 'tracer')
 
     def __init__(
         self,
         *,
         admission: Mailbox,
-        pool: Mailbox,
-        ledger: Ledger,
-        targets: TargetPort,
-        clock: Clock,
+        claims: Mailbox,
+        attempts: Attempts,
         tracer: Tracer,
     ) -> None:
         self.admission = admission
-        self.pool = pool
-        self.ledger = ledger
-        self.targets = targets
-        self.clock = clock
+        self.claims = claims
+        self.attempts = attempts
         self.tracer = tracer
 
     async def run(
-        self, arrival: Arrival, outgoing: Outgoing, body: AsyncIterator[bytes]
+        self, arrival: Arrival, outgoing: Outgoing, body: RequestBody
     ) -> AsyncGenerator[Part]:
         """Yield a refusal, or the head and the chunks of the whole answer."""
         with self.tracer.start_as_current_span('entry.admit'):
@@ -74,77 +55,74 @@
         if passage.refusal is not None:
             yield passage.refusal
             return
-        with self.tracer.start_as_current_span('entry.queue'):
-            assignment = await self.pool.ask(_want_slot(passage))
-        if isinstance(assignment, Refusal):
-            yield assignment
-            return
-        refusal = await self._claim(passage)
-        if refusal is not None:
-            self._release(assignment, succeeded=True)
-            yield refusal
-            return
-        async for part in self._forward(passage, assignment, outgoing, body):
-            yield part
-
-    async def _claim(self, passage: Passage) -> Refusal | None:
-        key = passage.arrival.idempotency_key
-        if passage.route is None or passage.route.idempotent or key is None:
-            return None
-        with self.tracer.start_as_current_span('entry.claim'):
-            return await self.ledger.claim(
-                team=passage.team or '',
-                idempotency_key=key,
-                attempt_id=uuid4().hex,
-            )
+        attempt = Attempt(passage=passage, outgoing=outgoing, body=body)
+        claim = None
+        if needs_claim(passage):
+            claim = await self._claim(passage)
+        async with aclosing(self._answer(attempt, claim)) as parts:
+            async for part in parts:
+                yield part
+
+    async def _answer(
+        self, attempt: Attempt, claim: Claimed | None
+    ) -> AsyncGenerator[Part]:
+        if isinstance(claim, Refusal):
+            yield claim
+        elif isinstance(claim, StoredAnswer):
+            yield AnswerHead(status=claim.status, headers=claim.headers)
+            yield AnswerChunk(body=claim.body)
+        else:
+            parts = self.attempts.run(attempt)
+            if claim is not None:
+                parts = self._record(attempt, claim, parts)
+            async with aclosing(parts) as whole:
+                async for part in whole:
+                    yield part
 
-    def _release(self, assignment: Assignment, *, succeeded: bool) -> None:
-        self.pool.post(
-            SlotRelease(assignment=assignment, succeeded=succeeded),
+    async def _claim(self, passage: Passage) -> Claimed:
+        arrival = passage.arrival
+        left_s = (passage.deadline or 0.0) - arrival.at
+        request = ClaimRequest(
+            team=passage.team or '',
+            idempotency_key=arrival.idempotency_key or '',
+            attempt_id=uuid4().hex,
+            fingerprint=fingerprint_request(arrival.method, arrival.path),
         )
-
-    async def _forward(
-        self,
-        passage: Passage,
-        assignment: Assignment,
-        outgoing: Outgoing,
-        body: AsyncIterator[bytes],
+        with self.tracer.start_as_current_span('entry.claim'):
+            try:
+                async with asyncio.timeout(left_s):
+                    claimed: Claimed = await self.claims.ask(request)
+            except TimeoutError:
+                return Refusal(
+                    code='deadline_passed', detail='no claim was made in time'
+                )
+        return claimed
+
+    async def _record(
+        self, attempt: Attempt, claim: Claim, parts: AsyncGenerator[Part]
     ) -> AsyncGenerator[Part]:
-        succeeded = False
-        started = False
-        target = assignment.target
-        left_s = (passage.deadline or 0.0) - self.clock.now()
+        recording = Recording()
+        is_whole = False
         try:
-            with self.tracer.start_as_current_span('target.request') as span:
-                span.set_attribute('target', target.name)
-                async for part in self.targets.send(
-                    target, outgoing, body, timeout_s=left_s
-                ):
-                    started = True
+            async with aclosing(parts) as passing:
+                async for part in passing:
+                    recording.add(part)
                     yield part
-            succeeded = True
-        except TargetError as error:
-            if started:
-                raise
-            yield _refuse_failed(target, error)
+            is_whole = attempt.failure is None
         finally:
-            self._release(assignment, succeeded=succeeded)
-
-
-def _want_slot(passage: Passage) -> SlotRequest:
-    if passage.route is None or passage.deadline is None:
-        raise AssertionError('an admitted passage has a route')
-    return SlotRequest(
-        request_id=passage.arrival.request_id,
-        service=passage.route.service,
-        team=passage.team,
-        deadline=passage.deadline,
-    )
-
-
-def _refuse_failed(target: Target, error: TargetError) -> Refusal:
-    return Refusal(
-        code='outcome_unknown' if error.sent else 'target_failed',
-        detail=f'{target.name}: {error}',
-        not_run=not error.sent,
-    )
+            if not attempt.may_have_run:
+                self.claims.post(ClaimResult(claim=claim))
+            elif is_whole:
+                self._keep(claim, recording)
+
+    def _keep(self, claim: Claim, recording: Recording) -> None:
+        answer = recording.finish()
+        if answer is not None:
+            self.claims.post(ClaimResult(claim=claim, answer=answer))
+
+
+def needs_claim(passage: Passage) -> bool:
+    """Tell whether a request must not run twice under its key."""
+    route = passage.route
+    has_key = passage.arrival.idempotency_key is not None
+    return route is not None and not route.idempotent and has_key
--- a/src/currantspur/wire/headers.py
+++ b/src/currantspur/wire/headers.py
@@ -7,6 +7,7 @@
 IDEMPOTENCY_HEADER = 'Idempotency-Key'
 TIMEOUT_HEADER = 'X-Request-Timeout-Ms'
 REQUEST_ID_HEADER = 'X-Request-Id'
+NOT_RUN_HEADER = 'X-Not-Run'
 TEAM_HEADER = 'X-Team'
 
 HOP_BY_HOP = frozenset(
@@ -32,7 +33,7 @@
         'x-team',
     )
 )
-NOT_FOR_CALLERS = HOP_BY_HOP | frozenset(('x-request-id',))
+NOT_FOR_CALLERS = HOP_BY_HOP | frozenset(('x-not-run', 'x-request-id'))
 
 
 def keep_headers(
--- a/src/currantspur/wire/listener.py
+++ b/src/currantspur/wire/listener.py
@@ -1,15 +1,19 @@
 """Serve callers over HTTP: look-ups and requests."""
 
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator
 from ipaddress import ip_address
 from uuid import uuid4
 
 import orjson
-from aiohttp import web
+from aiohttp import ClientError, StreamReader, web
 from opentelemetry.propagate import extract, inject
 from opentelemetry.trace import Tracer
 
-from currantspur.errors import MailboxFullError, TargetError
+from currantspur.errors import (
+    BodyCutError,
+    MailboxFullError,
+    TargetError,
+)
 from currantspur.messages import (
     AnswerChunk,
     AnswerHead,
@@ -19,13 +23,18 @@
     Outgoing,
     Refusal,
 )
-from currantspur.tasks import Clock, Exchange, Mailbox
-from currantspur.tasks.exchange import Part
+from currantspur.tasks import (
+    BodySource,
+    Clock,
+    Exchange,
+    Mailbox,
+    RequestBody,
+)
+from currantspur.tasks.attempts import Part
 from currantspur.wire import headers as names
 from currantspur.wire.errors import encode_refusal
 from currantspur.wire.telemetry import Metrics
 
-CHUNK_BYTES = 65_536
 HEADER_LIMIT_BYTES = 16_384
 MS_PER_S = 1000.0
 LOOKUP_PATH = '/-/entries'
@@ -97,7 +106,8 @@
                 refusal = Refusal(code='bad_request', detail=str(error))
                 return self._refuse(refusal, request_id)
             outgoing = read_outgoing(request, request_id)
-            parts = self.exchange.run(arrival, outgoing, read_body(request))
+            body = RequestBody(HttpBody(request.content))
+            parts = self.exchange.run(arrival, outgoing, body)
             try:
                 return await self._answer(request, request_id, parts)
             finally:
@@ -185,10 +195,20 @@
     )
 
 
-async def read_body(request: web.Request) -> AsyncIterator[bytes]:
-    """Yield the body as it comes."""
-    async for chunk in request.content.iter_chunked(CHUNK_BYTES):
-        yield chunk
+class HttpBody(BodySource):
+    """Read the body of an HTTP request as it comes."""
+
+    __slots__ = ('content',)
+
+    def __init__(self, content: StreamReader) -> None:
+        self.content = content
+
+    async def read(self) -> bytes:
+        """Return the next piece, empty at the end; raise BodyCutError."""
+        try:
+            return await self.content.readany()
+        except (ClientError, OSError, web.RequestPayloadError) as error:
+            raise BodyCutError(type(error).__name__) from error
 
 
 def open_response(head: AnswerHead, request_id: str) -> web.StreamResponse:
--- a/src/currantspur/wire/server.py
+++ b/src/currantspur/wire/server.py
@@ -13,7 +13,10 @@
 ) -> web.AppRunner:
     """Serve at an IP number and port; raise ListenError if it is in use."""
     runner = web.AppRunner(
-        application, access_log=None, shutdown_timeout=DRAIN_S
+        application,
+        access_log=None,
+        shutdown_timeout=DRAIN_S,
+        handler_cancellation=True,
     )
     await runner.setup()
     host, port = split_address(address)
