--- a/tests/carrying.py
+++ b/tests/carrying.py
@@ -1,7 +1,7 @@
 import asyncio
 from contextlib import AsyncExitStack, asynccontextmanager
 
-from aiohttp import web
+from aiohttp import ClientSession, web
 from opentelemetry.trace import NoOpTracer
 
 from currantspur.decisions.identity import mint_key
