--- a/src/currantspur/decisions/queueing.py
+++ b/src/currantspur/decisions/queueing.py
@@ -9,6 +9,8 @@
 QUEUE_LIMIT = 500
 LEAST_WEIGHT = 0.001
 PURGE_FACTOR = 2
+BURST_S = 2.0
+PENALTY_LIMIT_S = 1.0
 
 
 class Waiter:
@@ -24,7 +26,7 @@
         self.deadline = deadline
         self.since = since
         self.ticket = ticket
-        self.is_gone = False
+        self.is_gone = True
 
 
 class Pace:
@@ -93,6 +95,7 @@
 
     def admit(self, waiter: Waiter) -> int:
         """Count a request in and return its order."""
+        waiter.is_gone = False
         self.size += 1
         self.order += 1
         heappush(self.by_deadline, (waiter.deadline, self.order, waiter))
@@ -136,94 +139,106 @@
 
 
 class TeamLine:
-    """Hold the waiting requests of one team."""
+    """Hold the waiting requests of one team and how far ahead it is."""
 
     __slots__ = ('finish', 'is_listed', 'line', 'size', 'weight')
 
     def __init__(self) -> None:
-        self.line: deque[tuple[float, Waiter]] = deque()
+        self.line: deque[tuple[float, int, Waiter]] = deque()
         self.is_listed = False
         self.size = 0
         self.weight = 1.0
-        self.finish = 0.0
+        self.finish = float('-inf')
+
+    @property
+    def allowance_s(self) -> float:
+        """The seconds of its rate that a team may use ahead of time."""
+        return BURST_S + 1 / self.weight
+
+    def advance(self, at: float) -> float:
+        """Count one request; return the time at which its turn comes."""
+        finish = max(at, self.finish) + 1 / self.weight
+        self.finish = min(finish, at + self.allowance_s + PENALTY_LIMIT_S)
+        return max(at, self.finish - self.allowance_s)
+
+    def retreat(self) -> None:
+        """Take one request off the count."""
+        self.finish -= 1 / self.weight
+
+    def excess(self, at: float) -> tuple[float, float]:
+        """Return the seconds beyond the allowance, and the length."""
+        return max(0.0, self.finish - at - self.allowance_s), self.size
 
     def purge(self) -> None:
         """Remove from the head what no longer waits."""
-        while self.line and self.line[0][1].is_gone:
+        while self.line and self.line[0][2].is_gone:
             self.line.popleft()
 
-    @property
-    def load(self) -> float:
-        """The requests that wait for each unit of weight."""
-        return self.size / self.weight
-
 
 class FairQueue(QueuePolicy):
-    """Serve first the team that got least for its weight."""
+    """Serve in order of arrival the teams inside their rates, then others."""
 
-    __slots__ = ('heads', 'teams', 'virtual')
+    __slots__ = ('heads', 'teams')
 
     def __init__(self, *, limit: int = QUEUE_LIMIT) -> None:
         super().__init__(limit=limit)
         self.teams: dict[str, TeamLine] = {}
         self.heads: list[tuple[float, int, str]] = []
-        self.virtual = 0.0
 
     def offer(
         self, waiter: Waiter, *, weight: float, pace: Pace
     ) -> list[Waiter]:
-        """Queue a request; when full, shed of the team that waits most."""
+        """Queue a request; when full, shed of the team furthest ahead."""
         team = self.teams.setdefault(waiter.team, TeamLine())
         team.weight = max(weight, LEAST_WEIGHT)
+        turn = team.advance(waiter.since)
         shed: list[Waiter] = []
         if self.size >= self.limit:
             shed = self._shed_for(waiter, team)
             if shed == [waiter]:
+                team.retreat()
                 return shed
-        start = max(self.virtual, team.finish)
-        team.finish = start + 1 / team.weight
         order = self.admit(waiter)
-        team.line.append((start, waiter))
+        team.line.append((turn, order, waiter))
         team.size += 1
-        self._list(waiter.team, team, order)
+        self._list(waiter.team, team)
         return shed
 
     def pop(self) -> Waiter | None:
-        """Take the oldest request of the team that is furthest behind."""
+        """Take the request whose turn comes first."""
         while self.heads:
-            _, order, name = heappop(self.heads)
+            _, _, name = heappop(self.heads)
             team = self.teams[name]
             team.is_listed = False
             team.purge()
             if not team.line:
                 continue
-            start, waiter = team.line.popleft()
-            self.virtual = max(self.virtual, start)
+            _, _, waiter = team.line.popleft()
             self.drop(waiter)
-            self._list(name, team, order)
+            self._list(name, team)
             return waiter
-        self.teams = {}
-        self.virtual = 0.0
         return None
 
     def forget(self, waiter: Waiter) -> None:
         """Take a request off the count of its team."""
         self.teams[waiter.team].size -= 1
 
-    def _list(self, name: str, team: TeamLine, order: int) -> None:
+    def _list(self, name: str, team: TeamLine) -> None:
         team.purge()
         if team.line and not team.is_listed:
             team.is_listed = True
-            heappush(self.heads, (team.line[0][0], order, name))
+            turn, order, _ = team.line[0]
+            heappush(self.heads, (turn, order, name))
 
     def _shed_for(self, waiter: Waiter, team: TeamLine) -> list[Waiter]:
-        longest = max(self.teams.values(), key=lambda one: one.load)
-        if longest is team or longest.load <= team.load:
+        at = waiter.since
+        ahead = max(self.teams.values(), key=lambda one: one.excess(at))
+        if ahead is team or ahead.excess(at) <= team.excess(at):
             return [waiter]
-        while longest.line:
-            _, newest = longest.line.pop()
+        while ahead.line:
+            _, _, newest = ahead.line.pop()
             if not newest.is_gone:
-                longest.finish -= 1 / longest.weight
+                ahead.retreat()
                 self.drop(newest)
                 return [newest]
         return [waiter]
--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -43,6 +43,14 @@
         self.author = author
 
 
+class EditError(CurrantspurError):
+    """Report a change that does not fit the newest configuration."""
+
+
+class QuorumError(PlatformError):
+    """Report that no majority of committers acknowledged: nothing written."""
+
+
 class PeerAwayError(CurrantspurError):
     """Report that a peer gave no answer in time."""
 
--- a/src/currantspur/settings/document.py
+++ b/src/currantspur/settings/document.py
@@ -1,8 +1,9 @@
 """Read YAML as nodes that know their place and collect findings."""
 
 import math
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from ipaddress import IPv4Network, IPv6Network, ip_address, ip_network
+from itertools import chain
 from typing import TypeVar
 
 import yaml
@@ -15,6 +16,7 @@
 SIZE_LIMIT_BYTES = 67_108_864
 DEPTH_LIMIT = 24
 PORT_LIMIT = 65535
+NOT_A_NAME = '?'
 _TEXT_TAG = 'tag:yaml.org,2002:str'
 _NULL_TAG = 'tag:yaml.org,2002:null'
 _BOOL_TAG = 'tag:yaml.org,2002:bool'
@@ -24,6 +26,7 @@
         'tag:yaml.org,2002:float',
     )
 )
+_HEXADECIMAL = frozenset('0123456789abcdef')
 _TRUE_WORDS = frozenset(('true', 'yes', 'on'))
 
 
@@ -59,19 +62,25 @@
 class Cursor:
     """Read typed values below one node; a wrong one becomes a finding."""
 
-    __slots__ = ('document', 'known', 'node', 'path')
+    __slots__ = ('document', 'known', 'node', 'parent', 'path')
 
     def __init__(
-        self, document: Document, node: yaml.Node | None, *, path: str
+        self,
+        document: Document,
+        node: yaml.Node | None,
+        *,
+        path: str,
+        parent: yaml.Node | None = None,
     ) -> None:
         self.document = document
         self.node = node
+        self.parent = parent
         self.path = path
         self.known: set[str] = set()
 
     def blame(self, text: str) -> None:
         """Add a finding at this place."""
-        self.document.add(self.node, self.path, text)
+        self.document.add(self.node or self.parent, self.path, text)
 
     def child(self, name: str) -> 'Cursor':
         """Return the value under a name; a missing one has no node."""
@@ -80,11 +89,11 @@
         for key, node in self._pairs():
             if key.value == name:
                 return Cursor(self.document, node, path=path)
-        return Cursor(self.document, None, path=path)
+        return Cursor(self.document, None, path=path, parent=self.node)
 
     def names(self) -> list[str]:
         """List the names of a mapping."""
-        return [str(key.value) for key, _ in self._pairs()]
+        return [_read_name(key) for key, _ in self._pairs()]
 
     def each(self, name: str) -> Iterator['Cursor']:
         """Yield the members of the list under a name."""
@@ -162,6 +171,13 @@
             )
         return text
 
+    def hexadecimal(self, name: str, digits: int) -> str:
+        """Return a text of that many lower-case hexadecimal digits."""
+        text = self.text(name)
+        if text and (len(text) != digits or not set(text) <= _HEXADECIMAL):
+            self.child(name).blame(f'expected {digits} hexadecimal digits')
+        return text
+
     def network(self, name: str) -> IPv4Network | IPv6Network:
         """Return a prefix of IP numbers."""
         text = self.text(name)
@@ -182,12 +198,13 @@
         """Blame every name that nobody asked for, and names given twice."""
         seen: set[str] = set()
         for key, _ in self._pairs():
-            path = f'{self.path}.{key.value}' if self.path else str(key.value)
-            if key.value not in self.known:
+            name = _read_name(key)
+            path = f'{self.path}.{name}' if self.path else name
+            if name not in self.known:
                 self.document.add(key, path, 'unknown name')
-            if key.value in seen:
+            if name in seen:
                 self.document.add(key, path, 'given twice')
-            seen.add(str(key.value))
+            seen.add(name)
 
     def _pairs(self) -> list[tuple[yaml.Node, yaml.Node]]:
         if isinstance(self.node, yaml.MappingNode):
@@ -214,6 +231,12 @@
     return host.strip('[]'), int(port)
 
 
+def _read_name(key: yaml.Node) -> str:
+    if isinstance(key, yaml.ScalarNode):
+        return str(key.value)
+    return NOT_A_NAME
+
+
 def _parse_number(node: yaml.Node | None) -> float | None:
     if node is None or node.tag not in _NUMBER_TAGS:
         return None
@@ -235,8 +258,9 @@
         return None
     if not isinstance(node, yaml.MappingNode):
         document.add(node, '', 'expected names with values')
-    elif _is_deep(node, DEPTH_LIMIT):
-        document.add(node, '', f'nested more than {DEPTH_LIMIT} levels')
+        return node
+    for blamed, problem in _find_misuse(node):
+        document.add(blamed, '', problem)
         return None
     return node
 
@@ -255,13 +279,21 @@
     )
 
 
-def _is_deep(node: yaml.Node, levels: int) -> bool:
-    if levels == 0:
-        return True
+def _find_misuse(root: yaml.Node) -> Iterator[tuple[yaml.Node, str]]:
+    """Yield nodes nested too deep or used twice; aliases grow without end."""
+    seen: set[int] = set()
+    waiting = [(root, 0)]
+    while waiting:
+        node, depth = waiting.pop()
+        if id(node) in seen:
+            yield node, 'aliases are not allowed'
+        elif depth > DEPTH_LIMIT:
+            yield node, f'nested more than {DEPTH_LIMIT} levels'
+        seen.add(id(node))
+        waiting.extend((child, depth + 1) for child in _list_children(node))
+
+
+def _list_children(node: yaml.Node) -> Iterable[yaml.Node]:
     if isinstance(node, yaml.MappingNode):
-        children = [child for pair in node.value for child in pair]
-    elif isinstance(node, yaml.SequenceNode):
-        children = node.value
-    else:
-        return False
-    return any(_is_deep(child, levels - 1) for child in children)
+        return chain.from_iterable(node.value)
+    return node.value if isinstance(node, yaml.SequenceNode) else ()
