--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -11,12 +11,13 @@
 from currantspur.settings import DaemonSettings
 from currantspur.tasks import (
     AdmissionTask,
+    Attempts,
+    ClaimTask,
     Clock,
     Control,
     EqualShares,
     Exchange,
     Journal,
-    Ledger,
     Mailbox,
     SteeringTask,
     SystemClock,
@@ -37,6 +38,7 @@
 
     __slots__ = (
         'admission',
+        'claims',
         'client',
         'clock',
         'control',
@@ -71,13 +73,19 @@
         self.admission = AdmissionTask(
             clock=self.clock, freshness_s=settings.freshness_s
         )
+        self.journal = Journal()
         self.pool = TargetPool(
-            clock=self.clock, availability_zone=settings.availability_zone
+            clock=self.clock,
+            availability_zone=settings.availability_zone,
+            instance=settings.instance,
+            journal=self.journal.mailbox,
         )
         self.steering = SteeringTask()
         self.journal = Journal()
         self.shares = EqualShares(admission=self.admission.mailbox)
         self.control = self._open_control()
+        self.link = self._open_link()
+        self.claims = ClaimTask(platform=self.link.platform, clock=self.clock)
         self.peer_server = PeerServer(self._peer_mailboxes())
         self.jobs: list[asyncio.Task[None]] = []
         self.runners: list[Any] = []
@@ -146,6 +154,10 @@
             self.steering,
             self.journal,
             self.shares,
+            self.claims,
+            self.pool,
+            self.steering,
+            self.journal,
         )
 
     def _open_control(self) -> Control:
@@ -175,6 +187,14 @@
             ledger=Ledger(table=self.control.platform.table),
             targets=self.targets,
             clock=self.clock,
+            claims=self.claims.mailbox,
+            attempts=Attempts(
+                admission=self.admission.mailbox,
+                pool=self.pool.mailbox,
+                targets=self.targets,
+                clock=self.clock,
+                tracer=self.tracer,
+            ),
             tracer=self.tracer,
         )
 
--- a/src/currantspur/decisions/identity.py
+++ b/src/currantspur/decisions/identity.py
@@ -23,15 +23,19 @@
     def __init__(self, keys: Iterable[Key]) -> None:
         self.keys = {key.key_id: key for key in keys}
 
-    def find_team(self, secret_key: str) -> str | None:
-        """Return the team of a key, in constant time for each key id."""
+    def find(self, secret_key: str) -> Key | None:
+        """Return what is kept of a key, in constant time for each key id."""
         matched = KEY_PATTERN.fullmatch(secret_key)
         if matched is None:
             return None
         key_id, secret = matched.groups()
         key = self.keys.get(key_id)
         digest = key.digest if key else None
-        return key.team if key and is_right(secret, key_id, digest) else None
+        return key if is_right(secret, key_id, digest) else None
+
+    def holds(self, key_id: str | None) -> bool:
+        """Tell whether a key that was found before is still there."""
+        return key_id in self.keys
 
 
 def digest_secret(key_id: str, secret: str) -> str:
--- a/src/currantspur/messages/__init__.py
+++ b/src/currantspur/messages/__init__.py
@@ -1,6 +1,12 @@
 """Re-export the messages that tasks, filters and front ends pass."""
 
 from currantspur.messages.base import Message, fields
+from currantspur.messages.claims import (
+    Claim,
+    ClaimRequest,
+    ClaimResult,
+    StoredAnswer,
+)
 from currantspur.messages.configuration import (
     Block,
     Configuration,
@@ -61,7 +67,9 @@
     AnswerHead,
     Arrival,
     Assignment,
+    Confirmation,
     Entry,
+    Expiry,
     LookupAnswer,
     LookupQuery,
     Outgoing,
@@ -69,6 +77,7 @@
     Refusal,
     SlotRelease,
     SlotRequest,
+    Verdict,
 )
 
 __all__ = (
@@ -79,11 +88,16 @@
     'Assignment',
     'Block',
     'Change',
+    'Claim',
+    'ClaimRequest',
+    'ClaimResult',
     'Configuration',
+    'Confirmation',
     'Decision',
     'Drain',
     'Entry',
     'Evidence',
+    'Expiry',
     'Head',
     'HeadAnswer',
     'HeadRequest',
@@ -123,8 +137,10 @@
     'SlotRelease',
     'SlotRequest',
     'Steering',
+    'StoredAnswer',
     'Target',
     'Team',
+    'Verdict',
     'VersionNotice',
     'WitnessQuery',
     'WitnessState',
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -1,6 +1,9 @@
 """Run tasks that own their state and talk by messages."""
 
 from currantspur.tasks.admission import AdmissionTask
+from currantspur.tasks.attempts import Attempts, TargetPort
+from currantspur.tasks.body import BodySource, RequestBody
+from currantspur.tasks.claims import ClaimTask
 from currantspur.tasks.clock import Clock, SystemClock
 from currantspur.tasks.committer import (
     Committer,
@@ -9,8 +12,9 @@
 )
 from currantspur.tasks.control import Control
 from currantspur.tasks.exchange import Exchange, TargetPort
+from currantspur.tasks.committer import Committer, DirectCommitter
+from currantspur.tasks.exchange import Exchange
 from currantspur.tasks.journal import Journal
-from currantspur.tasks.ledger import Ledger
 from currantspur.tasks.mailbox import Letter, Mailbox
 from currantspur.tasks.peers import PeerPort
 from currantspur.tasks.shares import EqualShares
@@ -20,6 +24,9 @@
 
 __all__ = (
     'AdmissionTask',
+    'Attempts',
+    'BodySource',
+    'ClaimTask',
     'Clock',
     'Committer',
     'Control',
@@ -27,11 +34,12 @@
     'EqualShares',
     'Exchange',
     'Journal',
-    'Ledger',
     'Letter',
     'Mailbox',
     'PeerPort',
     'QuorumCommitter',
+    'PlatformLink',
+    'RequestBody',
     'SteeringTask',
     'SystemClock',
     'TargetPool',
