--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -10,12 +10,16 @@
 from currantspur.messages import Instance, Message
 from currantspur.settings import DaemonSettings
 from currantspur.tasks import (
+    AdministrationTask,
     AdmissionTask,
     Attempts,
     ClaimTask,
     Clock,
     Control,
     EqualShares,
+    ChangeTask,
+    Clock,
+    DirectCommitter,
     Exchange,
     Journal,
     Mailbox,
@@ -24,7 +28,7 @@
     TargetPool,
     Task,
 )
-from currantspur.wire.admin import AdminListener
+from currantspur.wire.admin import AdminListener, AdminServices
 from currantspur.wire.listener import Listener
 from currantspur.wire.peer_grpc import GrpcPeers, PeerServer
 from currantspur.wire.platform_http import PlatformClient, open_platform
@@ -37,8 +41,10 @@
     """Run one entry instance from start to graceful stop."""
 
     __slots__ = (
+        'administration',
         'admission',
         'claims',
+        'changes',
         'client',
         'clock',
         'control',
@@ -86,6 +92,15 @@
         self.control = self._open_control()
         self.link = self._open_link()
         self.claims = ClaimTask(platform=self.link.platform, clock=self.clock)
+        self.administration = AdministrationTask(
+            clock=self.clock, trusted=settings.operators
+        )
+        self.link = self._open_link()
+        self.changes = ChangeTask(
+            platform=self.link.platform,
+            committer=DirectCommitter(self.link.platform),
+            trusted=settings.operators,
+        )
         self.peer_server = PeerServer(self._peer_mailboxes())
         self.jobs: list[asyncio.Task[None]] = []
         self.runners: list[Any] = []
@@ -100,8 +115,8 @@
             tracer=self.tracer,
         )
         admin = AdminListener(
+            services=self._open_services(),
             metrics=self.metrics,
-            journal=self.journal.mailbox,
             is_ready=self.is_ready,
         )
         settings = self.settings
@@ -115,6 +130,8 @@
             self._spawn(task.run())
         for work in self.control.runs():
             self._spawn(work)
+        self._spawn(self.link.run())
+        self._spawn(self.changes.run())
         logger.info('{} listens at {}', settings.instance, settings.listen)
 
     def is_ready(self) -> bool:
@@ -158,6 +175,7 @@
             self.pool,
             self.steering,
             self.journal,
+            self.administration,
         )
 
     def _open_control(self) -> Control:
@@ -170,6 +188,13 @@
         )
         tasks = (self.admission, self.pool, self.steering, self.shares)
         return Control(
+        tasks = (
+            self.admission,
+            self.pool,
+            self.steering,
+            self.administration,
+        )
+        return PlatformLink(
             platform=open_platform(self.client),
             peers=self.peers,
             instance=instance,
@@ -180,6 +205,16 @@
             seeds=map(_name_seed, settings.seeds),
         )
 
+    def _open_services(self) -> AdminServices:
+        return AdminServices(
+            instance=self.link.instance,
+            administration=self.administration.mailbox,
+            changes=self.changes.mailbox,
+            journal=self.journal.mailbox,
+            platform=self.link.platform,
+            peers=self.peers,
+        )
+
     def _open_exchange(self) -> Exchange:
         return Exchange(
             admission=self.admission.mailbox,
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -1,9 +1,11 @@
 """Run tasks that own their state and talk by messages."""
 
+from currantspur.tasks.administration import AdministrationTask
 from currantspur.tasks.admission import AdmissionTask
 from currantspur.tasks.attempts import Attempts, TargetPort
 from currantspur.tasks.body import BodySource, RequestBody
 from currantspur.tasks.claims import ClaimTask
+from currantspur.tasks.changes import ChangeTask
 from currantspur.tasks.clock import Clock, SystemClock
 from currantspur.tasks.committer import (
     Committer,
@@ -23,10 +25,12 @@
 from currantspur.tasks.task import Task
 
 __all__ = (
+    'AdministrationTask',
     'AdmissionTask',
     'Attempts',
     'BodySource',
     'ClaimTask',
+    'ChangeTask',
     'Clock',
     'Committer',
     'Control',
