--- a/src/currantspur/cli/__init__.py
+++ b/src/currantspur/cli/__init__.py
@@ -13,3 +13,7 @@
     'main',
     'review',
 )
+from currantspur.cli import checking, daemons, loading
+from currantspur.cli.application import app, main
+
+__all__ = ('app', 'checking', 'daemons', 'loading', 'main')
--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -12,14 +12,17 @@
 from currantspur.tasks import (
     AdministrationTask,
     AdmissionTask,
+    Attempts,
+    ClaimTask,
+    Clock,
+    Control,
+    EqualShares,
     ChangeTask,
     Clock,
     DirectCommitter,
     Exchange,
     Journal,
-    Ledger,
     Mailbox,
-    PlatformLink,
     SteeringTask,
     SystemClock,
     TargetPool,
@@ -40,18 +43,20 @@
     __slots__ = (
         'administration',
         'admission',
+        'claims',
         'changes',
         'client',
         'clock',
+        'control',
         'jobs',
         'journal',
-        'link',
         'metrics',
         'peer_server',
         'peers',
         'pool',
         'runners',
         'settings',
+        'shares',
         'steering',
         'targets',
         'tracer',
@@ -74,11 +79,19 @@
         self.admission = AdmissionTask(
             clock=self.clock, freshness_s=settings.freshness_s
         )
+        self.journal = Journal()
         self.pool = TargetPool(
-            clock=self.clock, availability_zone=settings.availability_zone
+            clock=self.clock,
+            availability_zone=settings.availability_zone,
+            instance=settings.instance,
+            journal=self.journal.mailbox,
         )
         self.steering = SteeringTask()
         self.journal = Journal()
+        self.shares = EqualShares(admission=self.admission.mailbox)
+        self.control = self._open_control()
+        self.link = self._open_link()
+        self.claims = ClaimTask(platform=self.link.platform, clock=self.clock)
         self.administration = AdministrationTask(
             clock=self.clock, trusted=settings.operators
         )
@@ -115,18 +128,20 @@
         await self.peer_server.start(settings.peer)
         for task in self._tasks():
             self._spawn(task.run())
+        for work in self.control.runs():
+            self._spawn(work)
         self._spawn(self.link.run())
         self._spawn(self.changes.run())
         logger.info('{} listens at {}', settings.instance, settings.listen)
 
     def is_ready(self) -> bool:
         """Tell whether a version is in force."""
-        return self.link.head is not None
+        return self.control.follower.head is not None
 
     async def stop(self) -> None:
         """Leave the answers, finish what runs, and close."""
         try:
-            await self.link.leave()
+            await self.control.membership_reader.leave()
         except PlatformError as error:
             logger.warning('could not announce leaving: {}', error)
         for runner in self.runners:
@@ -147,7 +162,7 @@
         self.jobs.append(asyncio.create_task(work))
 
     def _peer_mailboxes(self) -> dict[type[Message], Mailbox]:
-        return {}
+        return self.control.questions()
 
     def _tasks(self) -> tuple[Task, ...]:
         return (
@@ -155,10 +170,15 @@
             self.pool,
             self.steering,
             self.journal,
+            self.shares,
+            self.claims,
+            self.pool,
+            self.steering,
+            self.journal,
             self.administration,
         )
 
-    def _open_link(self) -> PlatformLink:
+    def _open_control(self) -> Control:
         settings = self.settings
         instance = Instance(
             name=settings.instance,
@@ -166,6 +186,8 @@
             peer=settings.peer,
             availability_zone=settings.availability_zone,
         )
+        tasks = (self.admission, self.pool, self.steering, self.shares)
+        return Control(
         tasks = (
             self.admission,
             self.pool,
@@ -174,11 +196,13 @@
         )
         return PlatformLink(
             platform=open_platform(self.client),
+            peers=self.peers,
             instance=instance,
             clock=self.clock,
             poll_s=settings.poll_s,
-            readers=[task.mailbox for task in tasks],
             journal=self.journal.mailbox,
+            readers=[task.mailbox for task in tasks],
+            seeds=map(_name_seed, settings.seeds),
         )
 
     def _open_services(self) -> AdminServices:
@@ -195,8 +219,20 @@
         return Exchange(
             admission=self.admission.mailbox,
             pool=self.pool.mailbox,
-            ledger=Ledger(table=self.link.platform.table),
+            ledger=Ledger(table=self.control.platform.table),
             targets=self.targets,
             clock=self.clock,
+            claims=self.claims.mailbox,
+            attempts=Attempts(
+                admission=self.admission.mailbox,
+                pool=self.pool.mailbox,
+                targets=self.targets,
+                clock=self.clock,
+                tracer=self.tracer,
+            ),
             tracer=self.tracer,
         )
+
+
+def _name_seed(peer: str) -> Instance:
+    return Instance(name='', address='', peer=peer, availability_zone='')
