--- a/src/currantspur/cli/__init__.py
+++ b/src/currantspur/cli/__init__.py
@@ -1,6 +1,14 @@
 """Offer the command line: one module for each group of commands."""
 
-from currantspur.cli import changes, checking, daemons, drains, keys, review
+from currantspur.cli import (
+    changes,
+    checking,
+    daemons,
+    drains,
+    keys,
+    loading,
+    review,
+)
 from currantspur.cli.application import app, main
 
 __all__ = (
@@ -10,10 +18,7 @@
     'daemons',
     'drains',
     'keys',
+    'loading',
     'main',
     'review',
 )
-from currantspur.cli import checking, daemons, loading
-from currantspur.cli.application import app, main
-
-__all__ = ('app', 'checking', 'daemons', 'loading', 'main')
