Find an earlier change by its row, not among the latest versions

Cause: a change id was remembered for 256 versions only. Change: the row that tells the version of a change is read with the head.

--- a/src/currantspur/platform/history.py
+++ b/src/currantspur/platform/history.py
@@ -13,7 +13,7 @@
     read_section,
 )
 
-REMEMBERED_CHANGES = 256
+READ_VERSIONS = 256
 
 
 async def read_heads(
@@ -37,7 +37,7 @@
     return [newest, *(past[version] for version in sorted(past, reverse=True))]
 
 
-async def read_version(
+async def read_past(
     platform: Platform, version: int
 ) -> tuple[Head, Configuration]:
     """Return a past version or raise ObjectMissingError."""
--- a/src/currantspur/tasks/changes.py
+++ b/src/currantspur/tasks/changes.py
@@ -12,19 +12,27 @@
     OutcomeUnknownError,
     PlatformAwayError,
     PlatformError,
+    QuorumError,
     TakenError,
 )
 from currantspur.messages import Change, Configuration, Head, Message, Operator
 from currantspur.messages.operators import Order, Rejection, RejectionCode
 from currantspur.platform import Platform, read_section
 from currantspur.platform.history import (
-    REMEMBERED_CHANGES,
+    READ_VERSIONS,
     has_configuration,
     is_same_configuration,
     read_recent,
     select_changes,
 )
-from currantspur.platform.versions import CONFIGURATION_SECTION
+from currantspur.platform.versions import (
+    CONFIGURATION_SECTION,
+    HEAD_KEY,
+    decode_head,
+    name_change,
+    name_version,
+    read_version,
+)
 from currantspur.settings import print_configuration
 from currantspur.tasks.committer import Committer
 from currantspur.tasks.mailbox import Letter, Mailbox
@@ -42,21 +50,28 @@
 
 
 class Base(Message):
-    """Hold the version that a change is put on."""
+    """Hold the newest version and what is known of a change on it."""
 
-    __slots__ = ('configuration', 'heads')
+    __slots__ = ('configuration', 'earlier', 'newest', 'seen')
 
     def __init__(
-        self, *, heads: list[Head], configuration: Configuration
+        self,
+        *,
+        newest: Head | None,
+        seen: Head | None,
+        earlier: Head | None,
+        configuration: Configuration,
     ) -> None:
-        """Take the newest heads, the newest first."""
-        self.heads = heads
+        """Take the version that the author saw, and that of the same id."""
+        self.newest = newest
+        self.seen = seen
+        self.earlier = earlier
         self.configuration = configuration
 
     @property
     def version(self) -> int:
         """Newest version; 0 before the first."""
-        return self.heads[0].version if self.heads else 0
+        return self.newest.version if self.newest else 0
 
 
 class ChangeTask:
@@ -102,10 +117,9 @@
 
     async def _commit(self, edit: Edit, operator: Operator) -> Head:
         for _ in range(ATTEMPTS):
-            base = await self._read_base()
-            earlier = find_change(base.heads, edit, operator)
-            if earlier is not None:
-                return earlier
+            base = await self._read_base(edit)
+            if base.earlier is not None:
+                return check_author(base.earlier, operator)
             self._authorise(base, edit, operator)
             check_base(base, edit)
             head = await self._try(encode_change(base, edit, operator))
@@ -118,15 +132,29 @@
             return await self.committer.commit(change)
         except ConflictError:
             return None
+        except QuorumError:
+            raise
         except PlatformError as error:
             raise OutcomeUnknownError(str(error)) from error
 
-    async def _read_base(self) -> Base:
-        heads = await read_recent(self.platform, limit=REMEMBERED_CHANGES)
-        if not heads or not has_configuration(heads[0]):
-            return Base(heads=heads, configuration=Configuration())
-        configuration = await read_section(self.platform, heads[0])
-        return Base(heads=heads, configuration=configuration)
+    async def _read_base(self, edit: Edit) -> Base:
+        own_key = name_change(edit.change_id)
+        seen_key = name_version(edit.base_version or 0)
+        rows = await self.platform.table.read([HEAD_KEY, own_key, seen_key])
+        newest = decode_head(rows.get(HEAD_KEY))
+        own = rows.get(own_key)
+        earlier = None
+        if own is not None:
+            earlier = await read_version(self.platform, int(own.text))
+        configuration = Configuration()
+        if newest is not None and has_configuration(newest):
+            configuration = await read_section(self.platform, newest)
+        return Base(
+            newest=newest,
+            seen=decode_head(rows.get(seen_key)),
+            earlier=earlier,
+            configuration=configuration,
+        )
 
     def _authorise(self, base: Base, edit: Edit, operator: Operator) -> None:
         known = (*base.configuration.operators, *self.trusted)
@@ -139,7 +167,7 @@
         self, edit: Edit, operator: Operator, error: ConflictError
     ) -> Rejection:
         try:
-            heads = await read_recent(self.platform, limit=REMEMBERED_CHANGES)
+            heads = await read_recent(self.platform, limit=READ_VERSIONS)
         except PlatformAwayError:
             heads = []
         changes = select_changes(heads)
@@ -161,16 +189,11 @@
     raise error
 
 
-def find_change(
-    heads: list[Head], edit: Edit, operator: Operator
-) -> Head | None:
-    """Return the head that already holds a change of this author."""
-    for head in heads:
-        if head.change_id == edit.change_id:
-            if head.author != operator.name:
-                raise ConflictError('the change id is taken')
-            return head
-    return None
+def check_author(earlier: Head, operator: Operator) -> Head:
+    """Return the head of an earlier change if it is the same author's."""
+    if earlier.author != operator.name:
+        raise ConflictError('the change id is taken')
+    return earlier
 
 
 def check_base(base: Base, edit: Edit) -> None:
@@ -178,8 +201,11 @@
     wanted = edit.base_version
     if wanted is None or wanted == base.version:
         return
-    seen = [head for head in base.heads if head.version == wanted]
-    if seen and is_same_configuration(seen[0], base.heads[0]):
+    if (
+        base.seen
+        and base.newest
+        and is_same_configuration(base.seen, base.newest)
+    ):
         return
     raise ConflictError(f'version {base.version} is newer than base {wanted}')
 
--- a/src/currantspur/wire/admin/orders.py
+++ b/src/currantspur/wire/admin/orders.py
@@ -18,7 +18,7 @@
 from currantspur.errors import RejectedError
 from currantspur.messages import Drain, Key, Operator, Role
 from currantspur.messages.operators import Order, Rejection
-from currantspur.platform.history import read_version
+from currantspur.platform.history import read_past
 from currantspur.settings import Finding
 from currantspur.wire.admin.access import OPERATOR
 from currantspur.wire.admin.encoding import encode_head, encode_json
@@ -111,7 +111,7 @@
         """Apply an older content."""
         form = read_form(await request.read(), RESTORE)
         version = form.whole('version')
-        _, configuration = await read_version(self.services.platform, version)
+        _, configuration = await read_past(self.services.platform, version)
         edit = Replace(
             configuration=configuration,
             change_id=form.text('change_id'),
--- a/src/currantspur/wire/admin/queries.py
+++ b/src/currantspur/wire/admin/queries.py
@@ -12,8 +12,8 @@
 from currantspur.messages.operators import Snapshot, SnapshotQuery
 from currantspur.platform.history import (
     has_configuration,
+    read_past,
     read_recent,
-    read_version,
     select_changes,
 )
 from currantspur.platform.versions import read_section
@@ -144,7 +144,7 @@
         """Show a configuration as YAML."""
         version = read_query(request, 'version', 'whole', 0)
         if version:
-            head, configuration = await read_version(
+            head, configuration = await read_past(
                 self.services.platform, version
             )
         else:
