Keep keys out of the log of malformed requests

Cause: a test that greps everything that leaves the process found team and operator keys in the HTTP library's log, as part of malformed request heads. Change: a filter drops the exception of malformed requests; the daemon's own log prints no values of variables with a trace. The answer to a malformed head still goes to its sender.

--- a/src/currantspur/cli/daemons.py
+++ b/src/currantspur/cli/daemons.py
@@ -30,6 +30,8 @@
 @app.command
 def entry(*, settings: Path) -> None:
     """Run one entry instance."""
+    logger.remove()
+    logger.add(sys.stderr, diagnose=False)
     text = settings.read_text(encoding='utf-8')
     parsed = read_daemon_settings(text, file=str(settings))
     uvloop.run(_run_daemon(Daemon, parsed))
--- a/src/currantspur/wire/server.py
+++ b/src/currantspur/wire/server.py
@@ -1,6 +1,9 @@
 """Bind applications to addresses."""
 
+import logging
+
 from aiohttp import web
+from aiohttp.http import HttpProcessingError
 
 from currantspur.errors import ListenError
 from currantspur.settings import split_address
@@ -8,6 +11,25 @@
 DRAIN_S = 30.0
 
 
+class HideMalformed(logging.Filter):
+    """Leave out what a malformed request held: it may be a key."""
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Keep the record without its exception."""
+        error = record.exc_info[1] if record.exc_info else None
+        if isinstance(error, HttpProcessingError):
+            record.exc_info = None
+        return True
+
+
+def open_logger() -> logging.Logger:
+    """Return the logger of the HTTP library, without malformed requests."""
+    opened = logging.getLogger('currantspur.http')
+    if not opened.filters:
+        opened.addFilter(HideMalformed())
+    return opened
+
+
 async def open_server(
     application: web.Application, address: str
 ) -> web.AppRunner:
@@ -15,6 +37,7 @@
     runner = web.AppRunner(
         application,
         access_log=None,
+        logger=open_logger(),
         shutdown_timeout=DRAIN_S,
         handler_cancellation=True,
     )
