--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -31,6 +31,10 @@
     """Report that the platform gave no answer: a write may have happened."""
 
 
+class OutcomeUnknownError(PlatformAwayError):
+    """Report that a change was sent and its answer is still missing."""
+
+
 class ObjectMissingError(PlatformError):
     """Report that no object has the name asked for."""
 
--- a/src/currantspur/tasks/committee.py
+++ b/src/currantspur/tasks/committee.py
@@ -16,7 +16,7 @@
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.committer import Committer
 from currantspur.tasks.mailbox import Mailbox
-from currantspur.tasks.waiting import wait_for_letters
+from currantspur.tasks.waiting import wait_and_learn
 
 CHECK_S = 5.0
 GONE_S = 20.0
@@ -50,19 +50,18 @@
     async def run(self) -> None:
         """Check until cancelled."""
         while True:
-            letters = await wait_for_letters(self.mailbox, self.clock, CHECK_S)
-            for letter in letters:
-                self.learn(letter.message)
+            await wait_and_learn(self.mailbox, self.clock, CHECK_S, self.learn)
             head = self.head
             if head is not None and self._is_due(head):
                 await self._replace(head)
 
-    def learn(self, message: Message) -> None:
-        """Note the version in force and the members."""
+    def learn(self, message: Message) -> bool:
+        """Note the version in force and the members; neither is urgent."""
         if isinstance(message, InForce):
             self.head = message.head
         elif isinstance(message, Membership):
             self.members = message.instances
+        return False
 
     def _is_due(self, head: Head) -> bool:
         wanted = choose_committers(head.committers, self.members)
--- a/src/currantspur/tasks/committer.py
+++ b/src/currantspur/tasks/committer.py
@@ -9,7 +9,9 @@
 )
 from currantspur.errors import (
     ConflictError,
+    OutcomeUnknownError,
     PlatformAwayError,
+    PlatformError,
     QuorumError,
 )
 from currantspur.messages import (
@@ -87,23 +89,16 @@
         committed again under its change id.
         """
         names = await store_sections(self.platform, change)
-        head = await self._try(change, names)
+        failures: list[PlatformError] = []
         for _ in range(ATTEMPTS):
-            if head is not None:
-                return head
+            try:
+                return await self._try(change, names)
+            except (OutcomeUnknownError, QuorumError) as error:
+                failures.append(error)
             await self.clock.sleep(RETRY_S)
-            head = await self._retry(change, names)
-        raise PlatformAwayError('the store gave no answer: outcome open')
+        raise max(failures, key=_is_open)
 
-    async def _retry(
-        self, change: Change, names: dict[str, str]
-    ) -> Head | None:
-        try:
-            return await self._try(change, names)
-        except (PlatformAwayError, QuorumError):
-            return None
-
-    async def _try(self, change: Change, names: dict[str, str]) -> Head | None:
+    async def _try(self, change: Change, names: dict[str, str]) -> Head:
         draft = await draft_head(self.platform, change, names)
         if draft.is_landed:
             return self._announce(draft.head)
@@ -114,8 +109,8 @@
         conditions = await self._gather(draft, change)
         try:
             head = await send_draft(self.platform, draft, conditions)
-        except (ConflictError, PlatformAwayError):
-            return None
+        except (ConflictError, PlatformAwayError) as error:
+            raise OutcomeUnknownError('the store gave no answer') from error
         return self._announce(head)
 
     async def _gather(self, draft: Draft, change: Change) -> dict[str, int]:
@@ -146,6 +141,10 @@
         return head
 
 
+def _is_open(error: PlatformError) -> bool:
+    return isinstance(error, OutcomeUnknownError)
+
+
 def _read_condition(answer: object) -> dict[str, int]:
     if isinstance(answer, WriteAcknowledgement) and answer.accepted:
         return {name_committer(answer.answerer): answer.row_version}
--- a/src/currantspur/tasks/control.py
+++ b/src/currantspur/tasks/control.py
@@ -102,7 +102,7 @@
         self.notifier = Notifier(
             name=instance.name,
             peers=self.peers,
-            readers=(self.store_reader.mailbox, self.peer_reader.mailbox),
+            readers=(self.store_reader.mailbox,),
         )
         self.committer = self._open_committer()
         self.registrar = self._open_registrar()
--- a/src/currantspur/tasks/membership.py
+++ b/src/currantspur/tasks/membership.py
@@ -19,7 +19,7 @@
 from currantspur.tasks.mailbox import Letter, Mailbox
 from currantspur.tasks.peers import PeerPort
 from currantspur.tasks.task import Task
-from currantspur.tasks.waiting import wait_for_letters
+from currantspur.tasks.waiting import wait_and_learn
 
 ANNOUNCE_S = 5.0
 LIST_S = 2.0
@@ -119,6 +119,12 @@
             await self._read()
             await self._wait()
 
+    def learn(self, message: Message) -> bool:
+        """Note the members; they are not urgent."""
+        if isinstance(message, Membership):
+            self.members = message.instances
+        return False
+
     async def leave(self) -> None:
         """Announce that this instance is leaving."""
         self.instance.state = 'leaving'
@@ -174,14 +180,12 @@
         return False
 
     async def _wait(self) -> None:
-        wakes_at = self.clock.now() + max(LIST_S, self.wait_s)
-        while self.clock.now() < wakes_at:
-            letters = await wait_for_letters(
-                self.mailbox, self.clock, wakes_at - self.clock.now()
-            )
-            for letter in letters:
-                if isinstance(letter.message, Membership):
-                    self.members = letter.message.instances
+        await wait_and_learn(
+            self.mailbox,
+            self.clock,
+            max(LIST_S, self.wait_s),
+            self.learn,
+        )
 
 
 class ObservedPeers(PeerPort):
--- a/src/currantspur/tasks/peer_reader.py
+++ b/src/currantspur/tasks/peer_reader.py
@@ -23,7 +23,7 @@
 from currantspur.tasks.mailbox import Mailbox
 from currantspur.tasks.peers import PeerPort
 from currantspur.tasks.quorum import Quorum
-from currantspur.tasks.waiting import wait_for_letters
+from currantspur.tasks.waiting import wait_and_learn
 
 RELAY_S = 0.3
 # Committers are asked once the proof is that old.
@@ -82,20 +82,19 @@
                 await self._ask_seeds()
             elif self.clock.now() - self.proven_at > DOUBTED_S:
                 await self._ask_committers(self.head)
-            letters = await wait_for_letters(
-                self.mailbox, self.clock, self.poll_s
+            await wait_and_learn(
+                self.mailbox, self.clock, self.poll_s, self.learn
             )
-            self.learn(letter.message for letter in letters)
-
-    def learn(self, messages: Iterable[Message]) -> None:
-        """Note proofs, members and the version in force."""
-        for message in messages:
-            if isinstance(message, Proof):
-                self.proven_at = max(self.proven_at, message.proven_at)
-            elif isinstance(message, InForce):
-                self.head = message.head
-            elif isinstance(message, Membership):
-                self._choose(message.instances)
+
+    def learn(self, message: Message) -> bool:
+        """Note proofs, members and the version; none of them is urgent."""
+        if isinstance(message, Proof):
+            self.proven_at = max(self.proven_at, message.proven_at)
+        elif isinstance(message, InForce):
+            self.head = message.head
+        elif isinstance(message, Membership):
+            self._choose(message.instances)
+        return False
 
     def _choose(self, instances: tuple[Instance, ...]) -> None:
         zone = self.instance.availability_zone
--- a/src/currantspur/tasks/registrar.py
+++ b/src/currantspur/tasks/registrar.py
@@ -1,12 +1,12 @@
 """Register this instance as a committer and settle what it acknowledged."""
 
 from currantspur.errors import PlatformError
-from currantspur.messages import InForce, Registration, WitnessQuery
+from currantspur.messages import InForce, Message, Registration, WitnessQuery
 from currantspur.platform import ABSENT, Platform, Transaction, read_head
 from currantspur.platform.versions import name_committer
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.mailbox import Mailbox
-from currantspur.tasks.waiting import wait_for_letters
+from currantspur.tasks.waiting import wait_and_learn
 
 CHECK_S = 1.0
 OPEN_WRITE_S = 5.0
@@ -37,14 +37,18 @@
     async def run(self) -> None:
         """Check until cancelled."""
         while True:
-            letters = await wait_for_letters(self.mailbox, self.clock, CHECK_S)
-            for letter in letters:
-                if isinstance(letter.message, InForce):
-                    committers = letter.message.head.committers
-                    self.is_committer = self.name in committers
+            await wait_and_learn(self.mailbox, self.clock, CHECK_S, self.learn)
             if self.is_committer:
                 await self._check()
 
+    def learn(self, message: Message) -> bool:
+        """Note whether this instance is a committer; a change is urgent."""
+        if not isinstance(message, InForce):
+            return False
+        was_committer = self.is_committer
+        self.is_committer = self.name in message.head.committers
+        return self.is_committer != was_committer
+
     async def register(self) -> None:
         """Replace the row, then read the head, then answer peers again.
 
--- a/src/currantspur/tasks/store_reader.py
+++ b/src/currantspur/tasks/store_reader.py
@@ -1,7 +1,5 @@
 """Read the head from the store and report it."""
 
-from collections.abc import Iterable
-
 from loguru import logger
 
 from currantspur.decisions.relays import is_relay
@@ -12,11 +10,12 @@
     Message,
     Proof,
     Sighting,
+    VersionNotice,
 )
 from currantspur.platform import Platform, read_head
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.mailbox import Mailbox
-from currantspur.tasks.waiting import wait_for_letters
+from currantspur.tasks.waiting import wait_and_learn
 
 # An instance that is no relay reads the store once its proof is that old.
 UNPROVEN_S = 1.0
@@ -61,22 +60,21 @@
         while True:
             if self.is_relay or self.clock.now() - self.proven_at > UNPROVEN_S:
                 await self._try_read()
-            letters = await wait_for_letters(
-                self.mailbox, self.clock, self.poll_s
+            await wait_and_learn(
+                self.mailbox, self.clock, self.poll_s, self.learn
             )
-            self.learn(letter.message for letter in letters)
 
-    def learn(self, messages: Iterable[Message]) -> None:
-        """Note proofs and members; a notice of a version only wakes."""
-        for message in messages:
-            if isinstance(message, Proof):
-                self.proven_at = max(self.proven_at, message.proven_at)
-            elif isinstance(message, Membership):
-                self.is_relay = is_relay(
-                    self.instance.name,
-                    message.instances,
-                    self.instance.availability_zone,
-                )
+    def learn(self, message: Message) -> bool:
+        """Note proofs and members; a notice of a version is urgent."""
+        if isinstance(message, Proof):
+            self.proven_at = max(self.proven_at, message.proven_at)
+        elif isinstance(message, Membership):
+            self.is_relay = is_relay(
+                self.instance.name,
+                message.instances,
+                self.instance.availability_zone,
+            )
+        return isinstance(message, VersionNotice)
 
     async def _try_read(self) -> None:
         asked_at = self.clock.now()
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import heapq
+import selectors
 from itertools import count
 
 from currantspur.tasks.clock import Clock
@@ -58,3 +59,52 @@
 async def settle() -> None:
     for _ in range(TURNS):
         await asyncio.sleep(0)
+
+
+class VirtualSelector:
+    """Pass time at once where an event loop would wait for it."""
+
+    def __init__(self, selector) -> None:
+        self.selector = selector
+        self.at = 0.0
+
+    def select(self, timeout=None):
+        events = self.selector.select(0)
+        if not events and timeout is None:
+            return self.selector.select(None)
+        if not events:
+            self.at += max(0, timeout)
+        return events
+
+    def __getattr__(self, name):
+        return getattr(self.selector, name)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Run callbacks in the order of a time that costs nothing."""
+
+    def __init__(self) -> None:
+        self.virtual = VirtualSelector(selectors.DefaultSelector())
+        super().__init__(self.virtual)
+
+    def time(self) -> float:
+        return self.virtual.at
+
+
+class LoopClock(Clock):
+    """Tell the time of the running loop, which may be a virtual one."""
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def unix(self) -> float:
+        return UNIX_EPOCH_S + self.now()
+
+    async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+
+
+def run_virtual(work):
+    """Run a coroutine to its end in virtual time."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(work)
