--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -1,6 +1,11 @@
 """Run tasks that own their state and talk by messages."""
 
+from currantspur.tasks.administration import AdministrationTask
 from currantspur.tasks.admission import AdmissionTask
+from currantspur.tasks.attempts import Attempts, TargetPort
+from currantspur.tasks.body import BodySource, RequestBody
+from currantspur.tasks.claims import ClaimTask
+from currantspur.tasks.changes import ChangeTask
 from currantspur.tasks.clock import Clock, SystemClock
 from currantspur.tasks.committer import (
     Committer,
@@ -9,8 +14,9 @@
 )
 from currantspur.tasks.control import Control
 from currantspur.tasks.exchange import Exchange, TargetPort
+from currantspur.tasks.committer import Committer, DirectCommitter
+from currantspur.tasks.exchange import Exchange
 from currantspur.tasks.journal import Journal
-from currantspur.tasks.ledger import Ledger
 from currantspur.tasks.mailbox import Letter, Mailbox
 from currantspur.tasks.peers import PeerPort
 from currantspur.tasks.shares import EqualShares
@@ -19,7 +25,12 @@
 from currantspur.tasks.task import Task
 
 __all__ = (
+    'AdministrationTask',
     'AdmissionTask',
+    'Attempts',
+    'BodySource',
+    'ClaimTask',
+    'ChangeTask',
     'Clock',
     'Committer',
     'Control',
@@ -27,11 +38,12 @@
     'EqualShares',
     'Exchange',
     'Journal',
-    'Ledger',
     'Letter',
     'Mailbox',
     'PeerPort',
     'QuorumCommitter',
+    'PlatformLink',
+    'RequestBody',
     'SteeringTask',
     'SystemClock',
     'TargetPool',
