--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -1,7 +1,7 @@
 """Assemble the tasks, pipelines and listeners of one entry instance."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterator
 from typing import Any
 
 from loguru import logger
@@ -13,13 +13,11 @@
     AdministrationTask,
     AdmissionTask,
     Attempts,
+    ChangeTask,
     ClaimTask,
     Clock,
     Control,
     EqualShares,
-    ChangeTask,
-    Clock,
-    DirectCommitter,
     Exchange,
     Journal,
     Mailbox,
@@ -43,8 +41,8 @@
     __slots__ = (
         'administration',
         'admission',
-        'claims',
         'changes',
+        'claims',
         'client',
         'clock',
         'control',
@@ -87,18 +85,17 @@
             journal=self.journal.mailbox,
         )
         self.steering = SteeringTask()
-        self.journal = Journal()
         self.shares = EqualShares(admission=self.admission.mailbox)
-        self.control = self._open_control()
-        self.link = self._open_link()
-        self.claims = ClaimTask(platform=self.link.platform, clock=self.clock)
         self.administration = AdministrationTask(
             clock=self.clock, trusted=settings.operators
         )
-        self.link = self._open_link()
+        self.control = self._open_control()
+        self.claims = ClaimTask(
+            platform=self.control.platform, clock=self.clock
+        )
         self.changes = ChangeTask(
-            platform=self.link.platform,
-            committer=DirectCommitter(self.link.platform),
+            platform=self.control.platform,
+            committer=self.control.committer,
             trusted=settings.operators,
         )
         self.peer_server = PeerServer(self._peer_mailboxes())
@@ -130,7 +127,6 @@
             self._spawn(task.run())
         for work in self.control.runs():
             self._spawn(work)
-        self._spawn(self.link.run())
         self._spawn(self.changes.run())
         logger.info('{} listens at {}', settings.instance, settings.listen)
 
@@ -164,19 +160,14 @@
     def _peer_mailboxes(self) -> dict[type[Message], Mailbox]:
         return self.control.questions()
 
-    def _tasks(self) -> tuple[Task, ...]:
-        return (
-            self.admission,
-            self.pool,
-            self.steering,
-            self.journal,
-            self.shares,
-            self.claims,
-            self.pool,
-            self.steering,
-            self.journal,
-            self.administration,
-        )
+    def _tasks(self) -> Iterator[Task]:
+        yield self.admission
+        yield self.pool
+        yield self.steering
+        yield self.journal
+        yield self.shares
+        yield self.claims
+        yield self.administration
 
     def _open_control(self) -> Control:
         settings = self.settings
@@ -186,15 +177,14 @@
             peer=settings.peer,
             availability_zone=settings.availability_zone,
         )
-        tasks = (self.admission, self.pool, self.steering, self.shares)
-        return Control(
         tasks = (
             self.admission,
             self.pool,
             self.steering,
+            self.shares,
             self.administration,
         )
-        return PlatformLink(
+        return Control(
             platform=open_platform(self.client),
             peers=self.peers,
             instance=instance,
@@ -207,21 +197,17 @@
 
     def _open_services(self) -> AdminServices:
         return AdminServices(
-            instance=self.link.instance,
+            instance=self.control.instance,
             administration=self.administration.mailbox,
             changes=self.changes.mailbox,
             journal=self.journal.mailbox,
-            platform=self.link.platform,
+            platform=self.control.platform,
             peers=self.peers,
         )
 
     def _open_exchange(self) -> Exchange:
         return Exchange(
             admission=self.admission.mailbox,
-            pool=self.pool.mailbox,
-            ledger=Ledger(table=self.control.platform.table),
-            targets=self.targets,
-            clock=self.clock,
             claims=self.claims.mailbox,
             attempts=Attempts(
                 admission=self.admission.mailbox,
--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -60,10 +60,6 @@
     """Report a name that is in use already."""
 
 
-class OutcomeUnknownError(CurrantspurError):
-    """Report a write that may or may not have taken effect."""
-
-
 class ForbiddenError(CurrantspurError):
     """Report an operator who may not do what was asked."""
 
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -4,8 +4,8 @@
 from currantspur.tasks.admission import AdmissionTask
 from currantspur.tasks.attempts import Attempts, TargetPort
 from currantspur.tasks.body import BodySource, RequestBody
-from currantspur.tasks.claims import ClaimTask
 from currantspur.tasks.changes import ChangeTask
+from currantspur.tasks.claims import ClaimTask
 from currantspur.tasks.clock import Clock, SystemClock
 from currantspur.tasks.committer import (
     Committer,
@@ -13,8 +13,6 @@
     QuorumCommitter,
 )
 from currantspur.tasks.control import Control
-from currantspur.tasks.exchange import Exchange, TargetPort
-from currantspur.tasks.committer import Committer, DirectCommitter
 from currantspur.tasks.exchange import Exchange
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.mailbox import Letter, Mailbox
@@ -29,8 +27,8 @@
     'AdmissionTask',
     'Attempts',
     'BodySource',
-    'ClaimTask',
     'ChangeTask',
+    'ClaimTask',
     'Clock',
     'Committer',
     'Control',
@@ -42,7 +40,6 @@
     'Mailbox',
     'PeerPort',
     'QuorumCommitter',
-    'PlatformLink',
     'RequestBody',
     'SteeringTask',
     'SystemClock',
--- a/src/currantspur/tasks/changes.py
+++ b/src/currantspur/tasks/changes.py
@@ -12,6 +12,7 @@
     OutcomeUnknownError,
     PlatformAwayError,
     PlatformError,
+    QuorumError,
     TakenError,
 )
 from currantspur.messages import Change, Configuration, Head, Message, Operator
@@ -118,6 +119,8 @@
             return await self.committer.commit(change)
         except ConflictError:
             return None
+        except QuorumError:
+            raise
         except PlatformError as error:
             raise OutcomeUnknownError(str(error)) from error
 
