Leave without cutting a request

Cause: a stop closed connections at once; a caller with a kept connection saw a reset.

Change: a signal announces leaving, answers carry Connection: close, callers' caches and the lag of the list are waited out, listening ends, running requests and notes on claims end, then the process exits 0; a second signal or leave_s ends it.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -31,6 +31,7 @@
 READY_TRIES = 200
 READY_STEP_S = 0.05
 STOP_S = 40.0
+HURRY_S = 0.1
 TICKS = os.sysconf('SC_CLK_TCK')
 PAGE_KB = os.sysconf('SC_PAGE_SIZE') // 1024
 
@@ -74,6 +75,16 @@
             self.popen.kill()
             return await asyncio.to_thread(self.popen.wait)
 
+    async def end(self) -> int:
+        """End the process without waiting for callers that may still come."""
+        if self.popen.poll() is None:
+            self.send(signal.SIGCONT)
+            self.send(signal.SIGTERM)
+            await asyncio.sleep(HURRY_S)
+        if self.popen.poll() is None:
+            self.send(signal.SIGTERM)
+        return await self.stop()
+
     def _stat(self) -> list[str]:
         path = Path(f'/proc/{self.popen.pid}/stat')
         return path.read_text(encoding='ascii').rpartition(')')[2].split()
@@ -157,7 +168,7 @@
     def spawn(self, name: str, words: list[str]) -> Process:
         """Start a process that ends with this fleet."""
         process = Process(name, words)
-        self.stack.push_async_callback(process.stop)
+        self.stack.push_async_callback(process.end)
         return process
 
     async def apply(self, configuration: Configuration) -> Head:
--- a/src/currantspur/cli/daemons.py
+++ b/src/currantspur/cli/daemons.py
@@ -3,7 +3,6 @@
 import asyncio
 import signal
 import sys
-from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -60,7 +59,9 @@
     daemon = kind(settings)
     await daemon.start()
     await _wait_for_signal()
-    await daemon.stop()
+    hurried = asyncio.create_task(_wait_for_signal())
+    await daemon.leave(hurried)
+    hurried.cancel()
 
 
 async def _serve(application: web.Application, address: str) -> None:
@@ -70,9 +71,9 @@
     await runner.cleanup()
 
 
-def _wait_for_signal() -> Coroutine[Any, Any, bool]:
+async def _wait_for_signal() -> None:
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for each in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(each, stopped.set)
-    return stopped.wait()
+    await stopped.wait()
--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from currantspur.departure import Departure
 from currantspur.errors import PlatformError
 from currantspur.messages import Instance, Message
 from currantspur.settings import DaemonSettings
@@ -40,9 +41,11 @@
         'claims',
         'client',
         'clock',
+        'is_stopped',
         'jobs',
         'journal',
         'link',
+        'listener',
         'metrics',
         'peer_server',
         'peers',
@@ -82,18 +85,19 @@
         self.link = self._open_link()
         self.claims = ClaimTask(platform=self.link.platform, clock=self.clock)
         self.peer_server = PeerServer(self._peer_mailboxes())
-        self.jobs: list[asyncio.Task[None]] = []
-        self.runners: list[Any] = []
-
-    async def start(self) -> None:
-        """Listen and start every task; raise ListenError where one cannot."""
-        listener = Listener(
+        self.listener = Listener(
             exchange=self._open_exchange(),
             steering=self.steering.mailbox,
             clock=self.clock,
             metrics=self.metrics,
             tracer=self.tracer,
         )
+        self.jobs: list[asyncio.Task[None]] = []
+        self.runners: list[Any] = []
+        self.is_stopped = False
+
+    async def start(self) -> None:
+        """Listen and start every task; raise ListenError where one cannot."""
         admin = AdminListener(
             metrics=self.metrics,
             journal=self.journal.mailbox,
@@ -101,7 +105,7 @@
         )
         settings = self.settings
         for application, address in (
-            (listener.application(), settings.listen),
+            (self.listener.application(), settings.listen),
             (admin.application(), settings.admin),
         ):
             self.runners.append(await open_server(application, address))
@@ -115,8 +119,31 @@
         """Tell whether a version is in force."""
         return self.link.head is not None
 
+    async def leave(self, hurried: 'asyncio.Task[None]') -> None:
+        """Leave the answers, wait out caches and requests, and stop."""
+        departure = Departure(
+            link=self.link,
+            listener=self.listener,
+            claims=self.claims.mailbox,
+            clock=self.clock,
+        )
+        leaving = asyncio.create_task(departure.run(self.runners[0]))
+        await asyncio.wait(
+            (leaving, hurried),
+            timeout=self.settings.leave_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if not leaving.done():
+            logger.warning('leaving is cut short')
+            leaving.cancel()
+            self.listener.cut()
+        await self.stop()
+
     async def stop(self) -> None:
-        """Leave the answers, finish what runs, and close."""
+        """Announce leaving, finish what runs, and close, once."""
+        if self.is_stopped:
+            return
+        self.is_stopped = True
         try:
             await self.link.leave()
         except PlatformError as error:
--- a/src/currantspur/messages/__init__.py
+++ b/src/currantspur/messages/__init__.py
@@ -3,6 +3,7 @@
 from currantspur.messages.base import Message, fields
 from currantspur.messages.claims import (
     Claim,
+    ClaimFlush,
     ClaimRequest,
     ClaimResult,
     StoredAnswer,
@@ -83,6 +84,7 @@
     'Block',
     'Change',
     'Claim',
+    'ClaimFlush',
     'ClaimRequest',
     'ClaimResult',
     'Configuration',
--- a/src/currantspur/messages/claims.py
+++ b/src/currantspur/messages/claims.py
@@ -67,3 +67,9 @@
         self.claim = claim
         self.answer = answer
         self.object_name = object_name
+
+
+class ClaimFlush(Message):
+    """Ask to be answered once every note on a claim is written."""
+
+    __slots__ = ()
--- a/src/currantspur/tasks/claims.py
+++ b/src/currantspur/tasks/claims.py
@@ -11,7 +11,7 @@
     name_claim,
 )
 from currantspur.errors import ConflictError, PlatformError
-from currantspur.messages import Claim, ClaimRequest, ClaimResult
+from currantspur.messages import Claim, ClaimFlush, ClaimRequest, ClaimResult
 from currantspur.platform import ABSENT, Platform, Row
 from currantspur.platform.claims import decode_claim
 from currantspur.tasks.claim_writes import (
@@ -35,13 +35,14 @@
 class ClaimTask(Task):
     """Insert claims once, note what came of them, answer duplicates."""
 
-    __slots__ = ('answers', 'clock', 'pending', 'platform')
+    __slots__ = ('answers', 'clock', 'flushes', 'pending', 'platform')
 
     def __init__(self, *, platform: Platform, clock: Clock) -> None:
         super().__init__()
         self.platform = platform
         self.clock = clock
         self.pending = PendingWrites()
+        self.flushes: list[Letter] = []
         self.answers = LargeAnswers(
             objects=platform.object_store, mailbox=self.mailbox
         )
@@ -51,6 +52,7 @@
         while True:
             self.receive(await self._take())
             await self.flush()
+            self._answer_flushes()
 
     def receive(self, letters: Iterable[Letter]) -> None:
         """Turn letters into rows to be written."""
@@ -60,6 +62,8 @@
                 self._request(letter, message)
             elif isinstance(message, ClaimResult):
                 self._note(message)
+            elif isinstance(message, ClaimFlush):
+                self.flushes.append(letter)
 
     async def flush(self) -> None:
         """Write every waiting row that no other waiting row precedes."""
@@ -68,6 +72,13 @@
             if not went_well:
                 return
 
+    def _answer_flushes(self) -> None:
+        if self.pending.writes or self.answers.jobs:
+            return
+        for letter in self.flushes:
+            letter.answer(None)
+        self.flushes.clear()
+
     async def _take(self) -> list[Letter]:
         if not self.pending.writes:
             return await self.mailbox.take()
--- a/src/currantspur/wire/listener.py
+++ b/src/currantspur/wire/listener.py
@@ -1,11 +1,14 @@
 """Serve callers over HTTP: look-ups and requests."""
 
+import asyncio
 from collections.abc import AsyncGenerator
 from ipaddress import ip_address
+from typing import Any
 from uuid import uuid4
 
 import orjson
 from aiohttp import ClientError, StreamReader, web
+from aiohttp.typedefs import Handler
 from opentelemetry.propagate import extract, inject
 from opentelemetry.trace import Tracer
 
@@ -44,7 +47,15 @@
 class Listener:
     """Translate between HTTP and the messages of look-ups and requests."""
 
-    __slots__ = ('clock', 'exchange', 'metrics', 'steering', 'tracer')
+    __slots__ = (
+        'clock',
+        'exchange',
+        'is_leaving',
+        'metrics',
+        'running',
+        'steering',
+        'tracer',
+    )
 
     def __init__(
         self,
@@ -60,10 +71,18 @@
         self.clock = clock
         self.metrics = metrics
         self.tracer = tracer
+        self.is_leaving = False
+        self.running: set[asyncio.Task[Any]] = set()
+
+    def cut(self) -> None:
+        """Cancel every request that still runs."""
+        for task in self.running:
+            task.cancel()
 
     def application(self) -> web.Application:
         """Return the application that serves callers."""
         application = web.Application(
+            middlewares=[self.follow],
             handler_args={
                 'max_line_size': HEADER_LIMIT_BYTES,
                 'max_field_size': HEADER_LIMIT_BYTES,
@@ -73,6 +92,23 @@
         application.router.add_route('*', '/{path:.*}', self.carry)
         return application
 
+    @web.middleware
+    async def follow(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Count a request as running; close its connection when leaving."""
+        task = asyncio.current_task()
+        if task is None:
+            raise AssertionError('a handler runs in a task')
+        self.running.add(task)
+        try:
+            response = await handler(request)
+        finally:
+            self.running.discard(task)
+        if self.is_leaving and not response.prepared:
+            response.force_close()
+        return response
+
     async def look_up(self, request: web.Request) -> web.Response:
         """Answer which entries a client should use."""
         client = request.query.get('client') or request.remote or ''
@@ -129,6 +165,8 @@
         if not isinstance(first, AnswerHead):
             raise AssertionError('an answer begins with its head')
         response = open_response(first, request_id)
+        if self.is_leaving:
+            response.force_close()
         await response.prepare(request)
         try:
             async for part in parts:
