--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -85,3 +85,12 @@
 
 class BodyCutError(CurrantspurError):
     """Report that a caller's body ended before its end."""
+
+
+class CallError(CurrantspurError):
+    """Report a request for which a caller got no whole answer."""
+
+    def __init__(self, detail: str, *, sent: bool) -> None:
+        """Take whether the request may have reached an entry."""
+        super().__init__(detail)
+        self.sent = sent
--- a/src/currantspur/wire/targets.py
+++ b/src/currantspur/wire/targets.py
@@ -20,6 +20,7 @@
     REQUEST_ID_HEADER,
     keep_headers,
 )
+from currantspur.wire.resend import forbid_resend
 
 CHUNK_BYTES = 65_536
 SHORTEST_S = 0.001
@@ -116,20 +117,6 @@
             response.close()
 
 
-async def forbid_resend(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    """Turn errors that the library would answer by sending again."""
-    try:
-        return await handler(request)
-    except aiohttp.ClientConnectorError:
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise aiohttp.ClientConnectionError(
-            f'connection lost: {type(error).__name__}'
-        ) from error
-
-
 def _open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_end.append(_note_connection)
