--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -11,20 +11,23 @@
 from currantspur.messages import Instance, Message
 from currantspur.settings import DaemonSettings
 from currantspur.tasks import (
+    AdministrationTask,
     AdmissionTask,
     Attempts,
+    ChangeTask,
     ClaimTask,
     Clock,
+    Control,
+    EqualShares,
     Exchange,
     Journal,
     Mailbox,
-    PlatformLink,
     SteeringTask,
     SystemClock,
     TargetPool,
     Task,
 )
-from currantspur.wire.admin import AdminListener
+from currantspur.wire.admin import AdminListener, AdminServices
 from currantspur.wire.listener import Listener
 from currantspur.wire.peer_grpc import GrpcPeers, PeerServer
 from currantspur.wire.platform_http import PlatformClient, open_platform
@@ -37,14 +40,15 @@
     """Run one entry instance from start to graceful stop."""
 
     __slots__ = (
+        'administration',
         'admission',
+        'changes',
         'claims',
         'client',
         'clock',
-        'is_stopped',
+        'control',
         'jobs',
         'journal',
-        'link',
         'listener',
         'metrics',
         'peer_server',
@@ -52,6 +56,7 @@
         'pool',
         'runners',
         'settings',
+        'shares',
         'steering',
         'targets',
         'tracer',
@@ -82,8 +87,19 @@
             journal=self.journal.mailbox,
         )
         self.steering = SteeringTask()
-        self.link = self._open_link()
-        self.claims = ClaimTask(platform=self.link.platform, clock=self.clock)
+        self.shares = EqualShares(admission=self.admission.mailbox)
+        self.administration = AdministrationTask(
+            clock=self.clock, trusted=settings.operators
+        )
+        self.control = self._open_control()
+        self.claims = ClaimTask(
+            platform=self.control.platform, clock=self.clock
+        )
+        self.changes = ChangeTask(
+            platform=self.control.platform,
+            committer=self.control.committer,
+            trusted=settings.operators,
+        )
         self.peer_server = PeerServer(self._peer_mailboxes())
         self.listener = Listener(
             exchange=self._open_exchange(),
@@ -94,13 +110,12 @@
         )
         self.jobs: list[asyncio.Task[None]] = []
         self.runners: list[Any] = []
-        self.is_stopped = False
 
     async def start(self) -> None:
         """Listen and start every task; raise ListenError where one cannot."""
         admin = AdminListener(
+            services=self._open_services(),
             metrics=self.metrics,
-            journal=self.journal.mailbox,
             is_ready=self.is_ready,
         )
         settings = self.settings
@@ -112,17 +127,20 @@
         await self.peer_server.start(settings.peer)
         for task in self._tasks():
             self._spawn(task.run())
-        self._spawn(self.link.run())
+        for work in self.control.runs():
+            self._spawn(work)
+        self._spawn(self.changes.run())
         logger.info('{} listens at {}', settings.instance, settings.listen)
 
     def is_ready(self) -> bool:
         """Tell whether a version is in force."""
-        return self.link.head is not None
+        return self.control.follower.head is not None
 
     async def leave(self, hurried: 'asyncio.Task[None]') -> None:
         """Leave the answers, wait out caches and requests, and stop."""
         departure = Departure(
-            link=self.link,
+            reader=self.control.membership_reader,
+            steering=self.steering.mailbox,
             listener=self.listener,
             claims=self.claims.mailbox,
             clock=self.clock,
@@ -141,15 +159,14 @@
 
     async def stop(self) -> None:
         """Announce leaving, finish what runs, and close, once."""
-        if self.is_stopped:
+        if not self.runners:
             return
-        self.is_stopped = True
         try:
-            await self.link.leave()
+            await self.control.membership_reader.leave()
         except PlatformError as error:
             logger.warning('could not announce leaving: {}', error)
-        for runner in self.runners:
-            await runner.cleanup()
+        while self.runners:
+            await self.runners.pop(0).cleanup()
         for job in self.jobs:
             job.cancel()
         await asyncio.gather(*self.jobs, return_exceptions=True)
@@ -166,18 +183,20 @@
         self.jobs.append(asyncio.create_task(work))
 
     def _peer_mailboxes(self) -> dict[type[Message], Mailbox]:
-        return {}
+        return self.control.questions()
 
-    def _tasks(self) -> tuple[Task, ...]:
-        return (
+    def _tasks(self) -> list[Task]:
+        return [
             self.admission,
-            self.claims,
             self.pool,
             self.steering,
             self.journal,
-        )
+            self.shares,
+            self.claims,
+            self.administration,
+        ]
 
-    def _open_link(self) -> PlatformLink:
+    def _open_control(self) -> Control:
         settings = self.settings
         instance = Instance(
             name=settings.instance,
@@ -185,14 +204,32 @@
             peer=settings.peer,
             availability_zone=settings.availability_zone,
         )
-        tasks = (self.admission, self.pool, self.steering)
-        return PlatformLink(
+        tasks = (
+            self.admission,
+            self.pool,
+            self.steering,
+            self.shares,
+            self.administration,
+        )
+        return Control(
             platform=open_platform(self.client),
+            peers=self.peers,
             instance=instance,
             clock=self.clock,
             poll_s=settings.poll_s,
+            journal=self.journal.mailbox,
             readers=[task.mailbox for task in tasks],
+            seeds=map(_name_seed, settings.seeds),
+        )
+
+    def _open_services(self) -> AdminServices:
+        return AdminServices(
+            instance=self.control.instance,
+            administration=self.administration.mailbox,
+            changes=self.changes.mailbox,
             journal=self.journal.mailbox,
+            platform=self.control.platform,
+            peers=self.peers,
         )
 
     def _open_exchange(self) -> Exchange:
@@ -208,3 +245,7 @@
             ),
             tracer=self.tracer,
         )
+
+
+def _name_seed(peer: str) -> Instance:
+    return Instance(name='', address='', peer=peer, availability_zone='')
--- a/src/currantspur/departure.py
+++ b/src/currantspur/departure.py
@@ -4,11 +4,14 @@
 from loguru import logger
 
 from currantspur.errors import PlatformError
-from currantspur.messages import ClaimFlush
-from currantspur.tasks import Clock, Mailbox, PlatformLink
+from currantspur.messages import ClaimFlush, LookupQuery
+from currantspur.tasks import Clock, Mailbox
+from currantspur.tasks.membership import MembershipReader
 from currantspur.wire.listener import Listener
 
-LIST_LAG_S = 1.0
+ANYWHERE = '0.0.0.0'
+ANNOUNCE_RETRY_S = 0.5
+MARGIN_S = 0.5
 STEP_S = 0.05
 QUIET_STEPS = 3
 
@@ -16,17 +19,19 @@
 class Departure:
     """Leave the answers, wait out callers' caches, then running requests."""
 
-    __slots__ = ('claims', 'clock', 'link', 'listener')
+    __slots__ = ('claims', 'clock', 'listener', 'reader', 'steering')
 
     def __init__(
         self,
         *,
-        link: PlatformLink,
+        reader: MembershipReader,
+        steering: Mailbox,
         listener: Listener,
         claims: Mailbox,
         clock: Clock,
     ) -> None:
-        self.link = link
+        self.reader = reader
+        self.steering = steering
         self.listener = listener
         self.claims = claims
         self.clock = clock
@@ -35,9 +40,12 @@
         """Return once no caller can be cut any more."""
         self.listener.is_leaving = True
         await self._announce()
-        cache_s = self.link.configuration.steering.cache_s
-        logger.info('leaving: callers may come for {:.1f} s', cache_s)
-        await self.clock.sleep(cache_s + LIST_LAG_S + self.link.poll_s)
+        answer = await self.steering.ask(
+            LookupQuery(at=self.clock.now(), client=ANYWHERE)
+        )
+        wait_s = answer.cache_s + self.reader.lag_s + MARGIN_S
+        logger.info('leaving: callers may come for {:.1f} s', wait_s)
+        await self.clock.sleep(wait_s)
         for site in tuple(runner.sites):
             await site.stop()
         await self._wait_for_requests()
@@ -46,12 +54,12 @@
     async def _announce(self) -> None:
         while True:
             try:
-                await self.link.leave()
+                await self.reader.leave()
             except PlatformError as error:
                 logger.warning('could not announce leaving: {}', error)
             else:
                 return
-            await self.clock.sleep(self.link.poll_s)
+            await self.clock.sleep(ANNOUNCE_RETRY_S)
 
     async def _wait_for_requests(self) -> None:
         quiet = 0
--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from currantspur.messages.operators import Rejection
     from currantspur.settings.findings import Finding
 
 
@@ -51,6 +52,26 @@
     """Report that no majority of committers acknowledged: nothing written."""
 
 
+class TakenError(EditError):
+    """Report a name that is in use already."""
+
+
+class OutcomeUnknownError(CurrantspurError):
+    """Report a write that may or may not have taken effect."""
+
+
+class ForbiddenError(CurrantspurError):
+    """Report an operator who may not do what was asked."""
+
+
+class RejectedError(CurrantspurError):
+    """Carry the reason why an operator's request was not carried out."""
+
+    def __init__(self, rejection: 'Rejection') -> None:
+        super().__init__(rejection.detail)
+        self.rejection = rejection
+
+
 class PeerAwayError(CurrantspurError):
     """Report that a peer gave no answer in time."""
 
@@ -83,10 +104,6 @@
     """Report that the time of an exchange with a target ran out."""
 
 
-class BodyCutError(CurrantspurError):
-    """Report that a caller's body ended before its end."""
-
-
 class CallError(CurrantspurError):
     """Report a request for which a caller got no whole answer."""
 
--- a/src/currantspur/settings/daemon.py
+++ b/src/currantspur/settings/daemon.py
@@ -28,6 +28,7 @@
         'peer',
         'platform',
         'poll_s',
+        'seeds',
     )
 
     def __init__(
@@ -44,6 +45,7 @@
         poll_s: float = POLL_S,
         leave_s: float = LEAVE_S,
         operators: tuple[Operator, ...] = (),
+        seeds: tuple[str, ...] = (),
     ) -> None:
         """Take addresses as IP numbers with ports and times in seconds."""
         self.instance = instance
@@ -57,6 +59,7 @@
         self.poll_s = poll_s
         self.leave_s = leave_s
         self.operators = operators
+        self.seeds = seeds
 
 
 def read_daemon_settings(text: str, *, file: str) -> DaemonSettings:
@@ -77,6 +80,7 @@
         poll_s=root.number('poll_s', POLL_S, low=SHORTEST_S, high=LONGEST_S),
         leave_s=root.number('leave_s', LEAVE_S, high=LONGEST_S),
         operators=tuple(map(read_operator, root.each('operators'))),
+        seeds=tuple(seed.address('peer') for seed in root.each('seeds')),
     )
     root.finish()
     document.close()
--- a/src/currantspur/tasks/attempts.py
+++ b/src/currantspur/tasks/attempts.py
@@ -24,8 +24,8 @@
     SlotRelease,
     SlotRequest,
     Target,
-    Verdict,
 )
+from currantspur.messages.traffic import Verdict
 from currantspur.tasks.body import RequestBody
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.mailbox import Letter, Mailbox
--- a/src/currantspur/wire/listener.py
+++ b/src/currantspur/wire/listener.py
@@ -13,7 +13,6 @@
 from opentelemetry.trace import Tracer
 
 from currantspur.errors import (
-    BodyCutError,
     MailboxFullError,
     TargetError,
 )
@@ -242,11 +241,11 @@
         self.content = content
 
     async def read(self) -> bytes:
-        """Return the next piece, empty at the end; raise BodyCutError."""
+        """Return the next piece, empty at the end; raise ConnectionError."""
         try:
             return await self.content.readany()
         except (ClientError, OSError, web.RequestPayloadError) as error:
-            raise BodyCutError(type(error).__name__) from error
+            raise ConnectionResetError('body cut') from error
 
 
 def open_response(head: AnswerHead, request_id: str) -> web.StreamResponse:
