--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -1,7 +1,7 @@
 """Assemble the tasks, pipelines and listeners of one entry instance."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterator
 from typing import Any
 
 from loguru import logger
@@ -185,16 +185,14 @@
     def _peer_mailboxes(self) -> dict[type[Message], Mailbox]:
         return self.control.questions()
 
-    def _tasks(self) -> list[Task]:
-        return [
-            self.admission,
-            self.pool,
-            self.steering,
-            self.journal,
-            self.shares,
-            self.claims,
-            self.administration,
-        ]
+    def _tasks(self) -> Iterator[Task]:
+        yield self.admission
+        yield self.pool
+        yield self.steering
+        yield self.journal
+        yield self.shares
+        yield self.claims
+        yield self.administration
 
     def _open_control(self) -> Control:
         settings = self.settings
--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -32,6 +32,10 @@
     """Report that the platform gave no answer: a write may have happened."""
 
 
+class OutcomeUnknownError(PlatformAwayError):
+    """Report that a change was sent and its answer is still missing."""
+
+
 class ObjectMissingError(PlatformError):
     """Report that no object has the name asked for."""
 
@@ -56,10 +60,6 @@
     """Report a name that is in use already."""
 
 
-class OutcomeUnknownError(CurrantspurError):
-    """Report a write that may or may not have taken effect."""
-
-
 class ForbiddenError(CurrantspurError):
     """Report an operator who may not do what was asked."""
 
