--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -47,7 +47,6 @@
         'client',
         'clock',
         'control',
-        'is_stopped',
         'jobs',
         'journal',
         'listener',
@@ -111,7 +110,6 @@
         )
         self.jobs: list[asyncio.Task[None]] = []
         self.runners: list[Any] = []
-        self.is_stopped = False
 
     async def start(self) -> None:
         """Listen and start every task; raise ListenError where one cannot."""
@@ -141,7 +139,8 @@
     async def leave(self, hurried: 'asyncio.Task[None]') -> None:
         """Leave the answers, wait out caches and requests, and stop."""
         departure = Departure(
-            control=self.control,
+            reader=self.control.membership_reader,
+            steering=self.steering.mailbox,
             listener=self.listener,
             claims=self.claims.mailbox,
             clock=self.clock,
@@ -160,15 +159,14 @@
 
     async def stop(self) -> None:
         """Announce leaving, finish what runs, and close, once."""
-        if self.is_stopped:
+        if not self.runners:
             return
-        self.is_stopped = True
         try:
             await self.control.membership_reader.leave()
         except PlatformError as error:
             logger.warning('could not announce leaving: {}', error)
-        for runner in self.runners:
-            await runner.cleanup()
+        while self.runners:
+            await self.runners.pop(0).cleanup()
         for job in self.jobs:
             job.cancel()
         await asyncio.gather(*self.jobs, return_exceptions=True)
--- a/src/currantspur/standins/target_faults.py
+++ b/src/currantspur/standins/target_faults.py
@@ -11,7 +11,7 @@
 
 Run = Callable[[], Awaitable[web.Response]]
 
-SLOW_S = 0.5
+SLOW_S = 1.5
 PIECES = 64
 PIECE_BYTES = 32_768
 PIECE = bytes(PIECE_BYTES)
--- a/src/currantspur/tasks/membership.py
+++ b/src/currantspur/tasks/membership.py
@@ -112,6 +112,12 @@
         self.announced_at = float('-inf')
         self.wait_s = LIST_S
 
+    @property
+    def lag_s(self) -> float:
+        """The seconds after which every instance has read the list."""
+        by_relays_s = LIST_S_PER_MEMBER * len(self.members)
+        return LIST_S + max(LIST_S, by_relays_s)
+
     async def run(self) -> None:
         """Announce and read until cancelled."""
         while True:
@@ -125,11 +131,6 @@
             self.members = message.instances
         return False
 
-    def spread_s(self) -> float:
-        """Return the seconds until all have read what was announced."""
-        relays_wait_s = max(LIST_S, LIST_S_PER_MEMBER * len(self.members))
-        return relays_wait_s + LIST_S + ASK_S
-
     async def leave(self) -> None:
         """Announce that this instance is leaving."""
         self.instance.state = 'leaving'
