--- a/src/currantspur/decisions/ejection.py
+++ b/src/currantspur/decisions/ejection.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection
 
-from currantspur.messages import Verdict
+from currantspur.messages.traffic import Verdict
 
 FAILURES_TO_EJECT = 3
 FIRST_EJECTION_S = 1.0
--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -104,10 +104,6 @@
     """Report that the time of an exchange with a target ran out."""
 
 
-class BodyCutError(CurrantspurError):
-    """Report that a caller's body ended before its end."""
-
-
 class CallError(CurrantspurError):
     """Report a request for which a caller got no whole answer."""
 
--- a/src/currantspur/messages/__init__.py
+++ b/src/currantspur/messages/__init__.py
@@ -78,7 +78,6 @@
     Refusal,
     SlotRelease,
     SlotRequest,
-    Verdict,
 )
 
 __all__ = (
@@ -142,7 +141,6 @@
     'StoredAnswer',
     'Target',
     'Team',
-    'Verdict',
     'VersionNotice',
     'WitnessQuery',
     'WitnessState',
