--- a/src/currantspur/messages/operators.py
+++ b/src/currantspur/messages/operators.py
@@ -91,6 +91,45 @@
         self.fresh_age_s = fresh_age_s
 
 
+class UseQuery(Message):
+    """Ask how much of each limit's part is used on this instance."""
+
+    __slots__ = ()
+
+
+class LimitUse(Message):
+    """Say how much of a part is left, lent, borrowed and asked for."""
+
+    __slots__ = ('borrowed', 'demand', 'lent', 'level', 'limit', 'part')
+
+    def __init__(
+        self,
+        *,
+        limit: str,
+        part: Part,
+        level: float,
+        lent: float = 0.0,
+        borrowed: float = 0.0,
+        demand: float = 0.0,
+    ) -> None:
+        """Take tokens, and the demand as tokens a second."""
+        self.limit = limit
+        self.part = part
+        self.level = level
+        self.lent = lent
+        self.borrowed = borrowed
+        self.demand = demand
+
+
+class UseReport(Message):
+    """List the use of each limit on this instance."""
+
+    __slots__ = ('uses',)
+
+    def __init__(self, *, uses: tuple[LimitUse, ...] = ()) -> None:
+        self.uses = uses
+
+
 class Difference(Message):
     """Name a value that two configurations do not share; None: absent."""
 
--- a/src/currantspur/wire/admin/listener.py
+++ b/src/currantspur/wire/admin/listener.py
@@ -7,6 +7,8 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from currantspur.wire.admin.access import Guard, translate_errors
+from currantspur.wire.admin.encoding import encode_json
+from currantspur.wire.admin.openapi import describe_api
 from currantspur.wire.admin.orders import Orders
 from currantspur.wire.admin.queries import EXPLAIN_QUERY, Queries
 from currantspur.wire.admin.route import AdminRoute
@@ -79,6 +81,13 @@
                 role=None,
                 query=EXPLAIN_QUERY,
             ),
+            AdminRoute(
+                'GET',
+                '/v1/openapi.json',
+                self.show_api,
+                summary='This description.',
+                role=None,
+            ),
             *self.queries.routes(),
             *self.orders.routes(),
         ]
@@ -89,6 +98,10 @@
         headers = {'Content-Type': CONTENT_TYPE_LATEST}
         return web.Response(body=body, headers=headers)
 
+    async def show_api(self, _request: web.Request) -> web.Response:
+        """Describe the routes as OpenAPI."""
+        return encode_json(describe_api(self.routes()))
+
     async def show_live(self, _request: web.Request) -> web.Response:
         """Say that the process serves."""
         return web.Response(text='live\n')
--- a/tests/test_secrets.py
+++ b/tests/test_secrets.py
@@ -93,6 +93,7 @@
         )
     )
     await daemon.start()
+    fleet.daemons.append(daemon)
     stack.push_async_callback(daemon.stop)
     return daemon
 
