Send short answers in one piece, open no span that nobody collects

Change: an answer whose announced length is at most 16 KiB is collected and sent with its head; cut on the way it becomes outcome_unknown instead of a cut connection. Without a collector no span is opened and no context read.

--- a/src/currantspur/standins/target_faults.py
+++ b/src/currantspur/standins/target_faults.py
@@ -122,7 +122,10 @@
 class HalfAnswer(Fault):
     """Run, send less than the length announced, and close politely."""
 
-    __slots__ = ()
+    __slots__ = ('piece',)
+
+    def __init__(self, *, piece: bytes) -> None:
+        self.piece = piece
 
     async def answer(
         self, request: web.Request, run: Run
@@ -130,9 +133,9 @@
         """Return an answer of which half is missing."""
         await run()
         answer = web.StreamResponse()
-        answer.content_length = 2 * len(PIECE)
+        answer.content_length = 2 * len(self.piece)
         await answer.prepare(request)
-        await answer.write(PIECE)
+        await answer.write(self.piece)
         if request.transport is not None:
             request.transport.close()
         return answer
@@ -179,7 +182,8 @@
         'reset_before_head': ResetBeforeHead(),
         'reset_after_head': ResetAfterHead(pieces=0),
         'reset_mid_body': ResetAfterHead(pieces=2),
-        'half_answer': HalfAnswer(),
+        'half_answer': HalfAnswer(piece=PIECE),
+        'half_short_answer': HalfAnswer(piece=b'half'),
         'wrong_id': WrongId(),
         'stream': Stream(),
     }
--- a/src/currantspur/tasks/attempts.py
+++ b/src/currantspur/tasks/attempts.py
@@ -29,6 +29,7 @@
 from currantspur.tasks.body import RequestBody
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.mailbox import Letter, Mailbox
+from currantspur.tasks.tracing import open_span
 
 AnswerPart = AnswerHead | AnswerChunk
 Part = AnswerPart | Refusal
@@ -184,7 +185,7 @@
         )
 
     async def _take_slot(self, attempt: Attempt) -> Assignment | Refusal:
-        with self.tracer.start_as_current_span('entry.queue'):
+        with open_span(self.tracer, 'entry.queue'):
             letter = Letter(
                 attempt.describe(), get_running_loop().create_future()
             )
@@ -261,7 +262,7 @@
         target = assignment.target
         left_s = attempt.deadline - self.clock.now()
         attempt.begin()
-        with self.tracer.start_as_current_span('target.request') as span:
+        with open_span(self.tracer, 'target.request') as span:
             span.set_attribute('target', target.name)
             sending = self.targets.send(
                 target,
--- a/src/currantspur/tasks/exchange.py
+++ b/src/currantspur/tasks/exchange.py
@@ -24,6 +24,7 @@
 from currantspur.tasks.body import RequestBody
 from currantspur.tasks.mailbox import Mailbox
 from currantspur.tasks.recording import Recording
+from currantspur.tasks.tracing import open_span
 
 Claimed = Claim | StoredAnswer | Refusal
 
@@ -50,7 +51,7 @@
         self, arrival: Arrival, outgoing: Outgoing, body: RequestBody
     ) -> AsyncGenerator[Part]:
         """Yield a refusal, or the head and the chunks of the whole answer."""
-        with self.tracer.start_as_current_span('entry.admit'):
+        with open_span(self.tracer, 'entry.admit'):
             passage = await self.admission.ask(arrival)
         if passage.refusal is not None:
             yield passage.refusal
@@ -88,7 +89,7 @@
             attempt_id=uuid4().hex,
             fingerprint=fingerprint_request(arrival.method, arrival.path),
         )
-        with self.tracer.start_as_current_span('entry.claim'):
+        with open_span(self.tracer, 'entry.claim'):
             try:
                 async with asyncio.timeout(left_s):
                     claimed: Claimed = await self.claims.ask(request)
--- a/src/currantspur/wire/listener.py
+++ b/src/currantspur/wire/listener.py
@@ -8,9 +8,12 @@
 
 import orjson
 from aiohttp import ClientError, StreamReader, web
+from aiohttp.hdrs import METH_HEAD
 from aiohttp.typedefs import Handler
+from multidict import CIMultiDict
+from opentelemetry.context import Context
 from opentelemetry.propagate import extract, inject
-from opentelemetry.trace import Tracer
+from opentelemetry.trace import NoOpTracer, Tracer
 
 from currantspur.errors import (
     MailboxFullError,
@@ -33,6 +36,7 @@
     RequestBody,
 )
 from currantspur.tasks.attempts import Part
+from currantspur.tasks.tracing import open_span
 from currantspur.wire import headers as names
 from currantspur.wire.errors import encode_refusal
 from currantspur.wire.telemetry import Metrics
@@ -41,6 +45,9 @@
 MS_PER_S = 1000.0
 LOOKUP_PATH = '/-/entries'
 ID_LIMIT = 128
+SHORT_BYTES = 16_384
+CONTENT_LENGTH = 'content-length'
+BODYLESS_STATUSES = frozenset((204, 304))
 
 
 class Listener:
@@ -133,8 +140,8 @@
         """Carry a request to a target and its answer back."""
         began_at = self.clock.now()
         request_id = read_request_id(request)
-        context = extract(request.headers)
-        with self.tracer.start_as_current_span('entry.request', context):
+        context = self._read_context(request)
+        with open_span(self.tracer, 'entry.request', context):
             try:
                 arrival = read_arrival(request, request_id, began_at)
             except ValueError as error:
@@ -149,6 +156,11 @@
                 await parts.aclose()
                 self.metrics.seconds.observe(self.clock.now() - began_at)
 
+    def _read_context(self, request: web.Request) -> Context | None:
+        if isinstance(self.tracer, NoOpTracer):
+            return None
+        return extract(request.headers)
+
     async def _answer(
         self,
         request: web.Request,
@@ -163,6 +175,8 @@
             return self._refuse(first, request_id)
         if not isinstance(first, AnswerHead):
             raise AssertionError('an answer begins with its head')
+        if is_short(request, first):
+            return await self._answer_short(request_id, first, parts)
         response = open_response(first, request_id)
         if self.is_leaving:
             response.force_close()
@@ -178,6 +192,24 @@
         self.metrics.requests.labels('answered').inc()
         return response
 
+    async def _answer_short(
+        self, request_id: str, head: AnswerHead, parts: AsyncGenerator[Part]
+    ) -> web.StreamResponse:
+        body = bytearray()
+        try:
+            async for part in parts:
+                if isinstance(part, AnswerChunk):
+                    body += part.body
+        except TargetError as error:
+            return self._refuse(
+                Refusal(
+                    code='outcome_unknown', detail=str(error), not_run=False
+                ),
+                request_id,
+            )
+        self.metrics.requests.labels('answered').inc()
+        return close_response(head, request_id, bytes(body))
+
     def _refuse(self, refusal: Refusal, request_id: str) -> web.Response:
         self.metrics.requests.labels(refusal.code).inc()
         return encode_refusal(refusal, request_id)
@@ -257,6 +289,29 @@
     return response
 
 
+def is_short(request: web.Request, head: AnswerHead) -> bool:
+    """Tell whether an answer is better sent in one piece."""
+    if request.method == METH_HEAD or head.status in BODYLESS_STATUSES:
+        return False
+    announced = [
+        line for name, line in head.headers if name.lower() == CONTENT_LENGTH
+    ]
+    return bool(announced) and int(announced[0]) <= SHORT_BYTES
+
+
+def close_response(
+    head: AnswerHead, request_id: str, body: bytes
+) -> web.Response:
+    """Return a response with a whole answer."""
+    headers = CIMultiDict(
+        (name, line)
+        for name, line in head.headers
+        if name.lower() != CONTENT_LENGTH
+    )
+    headers[names.REQUEST_ID_HEADER] = request_id
+    return web.Response(status=head.status, headers=headers, body=body)
+
+
 def encode_lookup(answer: LookupAnswer) -> web.Response:
     """Return the documented JSON form of a look-up's answer."""
     entries = [
--- a/tests/test_target_faults.py
+++ b/tests/test_target_faults.py
@@ -37,6 +37,7 @@
         ('reset_after_head', '/read', CUT, 1),
         ('reset_mid_body', '/read', CUT, 1),
         ('half_answer', '/read', CUT, 1),
+        ('half_short_answer', '/read', (UNKNOWN, False), 1),
         ('wrong_id', '/read', (UNKNOWN, False), 2),
         (None, '/submit', ANSWERED, 1),
         ('slow', '/submit', ANSWERED, 1),
@@ -46,6 +47,7 @@
         ('reset_after_head', '/submit', CUT, 1),
         ('reset_mid_body', '/submit', CUT, 1),
         ('half_answer', '/submit', CUT, 1),
+        ('half_short_answer', '/submit', (UNKNOWN, False), 1),
         ('wrong_id', '/submit', (UNKNOWN, False), 1),
     ],
 )
@@ -102,6 +104,19 @@
         assert (found, site.runs('k')) == (seen, runs)
 
 
+@pytest.mark.parametrize('method', ['GET', 'HEAD', 'DELETE', 'PATCH'])
+async def test_answers_keep_their_form(method):
+    async with open_site(targets=1) as site:
+        response, body = await site.call(
+            '/read', method=method, headers={'X-Request-Id': 'mine'}
+        )
+        assert response.headers['X-Request-Id'] == 'mine'
+        assert response.content_type == 'application/json'
+        length = int(response.headers['Content-Length'])
+        assert len(body) == length or method == 'HEAD'
+        assert length > 0
+
+
 @pytest.mark.parametrize('path', ['/read', '/submit'])
 async def test_nobody_listens(path):
     async with open_site(targets=1) as site:
