--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -91,7 +91,7 @@
         )
         self.control = self._open_control()
         self.claims = ClaimTask(
-            platform=self.control.platform, clock=self.clock
+            platform=self.control.count('claims'), clock=self.clock
         )
         self.changes = ChangeTask(
             platform=self.control.platform,
@@ -193,6 +193,7 @@
             journal=self.journal.mailbox,
             readers=[task.mailbox for task in tasks],
             seeds=map(_name_seed, settings.seeds),
+            counter=self.metrics.platform_calls,
         )
 
     def _open_services(self) -> AdminServices:
--- a/src/currantspur/standins/faults.py
+++ b/src/currantspur/standins/faults.py
@@ -15,7 +15,7 @@
 )
 from currantspur.tasks.clock import Clock
 
-FaultKind = Literal['outage', 'slow', 'lost_answer', 'lagging']
+FaultKind = Literal['outage', 'slow', 'slow_answer', 'lost_answer', 'lagging']
 Outcome = TypeVar('Outcome')
 
 
@@ -111,16 +111,20 @@
         self, call: str, work: Callable[[], Awaitable[Outcome]]
     ) -> Outcome:
         """Do the work of a call unless a fault strikes it."""
-        slow = self.table.strike('slow', self.party, call)
-        if slow is not None:
-            await self.table.clock.sleep(slow.seconds)
+        await self._delay('slow', call)
         if self.table.strike('outage', self.party, call):
             raise PlatformAwayError(f'outage of {call}')
         outcome = await work()
+        await self._delay('slow_answer', call)
         if self.table.strike('lost_answer', self.party, call):
             raise PlatformAwayError(f'answer of {call} lost')
         return outcome
 
+    async def _delay(self, kind: FaultKind, call: str) -> None:
+        slow = self.table.strike(kind, self.party, call)
+        if slow is not None:
+            await self.table.clock.sleep(slow.seconds)
+
 
 class FaultyTable(Table):
     """Pass calls to a table through a gate."""
--- a/src/currantspur/tasks/control.py
+++ b/src/currantspur/tasks/control.py
@@ -14,6 +14,11 @@
     WriteIntent,
 )
 from currantspur.platform import Platform
+from currantspur.platform.counting import (
+    CallCounter,
+    CallTally,
+    count_calls,
+)
 from currantspur.tasks.archive import Archive
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.committee import CommitteeTask
@@ -43,6 +48,7 @@
         'clock',
         'committee',
         'committer',
+        'counter',
         'fetcher',
         'follower',
         'instance',
@@ -52,7 +58,6 @@
         'peer_reader',
         'peers',
         'platform',
-        'poll_s',
         'quorum',
         'readers',
         'registrar',
@@ -72,18 +77,21 @@
         journal: Mailbox,
         readers: Iterable[Mailbox],
         seeds: Iterable[Instance] = (),
+        counter: CallCounter | None = None,
     ) -> None:
         """Take the mailboxes that want versions, proofs and members."""
         self.platform = platform
+        self.counter = counter or CallTally()
         self.instance = instance
         self.clock = clock
-        self.poll_s = poll_s
         self.seeds = tuple(seeds)
         self.readers = list(readers)
         self.archive = Archive()
         self.membership = MembershipTask(clock=clock, readers=self.readers)
         self.peers = ObservedPeers(peers, self.membership.mailbox)
-        self.fetcher = Fetcher(peers=self.peers, platform=platform)
+        self.fetcher = Fetcher(
+            peers=self.peers, platform=self.count('sections')
+        )
         self.relay = ProofRelay(name=instance.name, clock=clock)
         self.quorum = Quorum(
             name=instance.name, peers=self.peers, local=self.relay.mailbox
@@ -97,8 +105,8 @@
             readers=self.readers,
         )
         self.membership_reader = self._open_membership_reader()
-        self.store_reader = self._open_store_reader()
-        self.peer_reader = self._open_peer_reader()
+        self.store_reader = self._open_store_reader(poll_s)
+        self.peer_reader = self._open_peer_reader(poll_s)
         self.notifier = Notifier(
             name=instance.name,
             peers=self.peers,
@@ -135,6 +143,10 @@
             WriteIntent: self.relay.mailbox,
         }
 
+    def count(self, mechanism: str) -> Platform:
+        """Return the platform, counting calls for a mechanism."""
+        return count_calls(self.platform, self.counter, mechanism)
+
     def _mailboxes(self) -> Iterator[Mailbox]:
         yield self.relay.mailbox
         yield self.follower.mailbox
@@ -148,37 +160,37 @@
     def _open_membership_reader(self) -> MembershipReader:
         return MembershipReader(
             instance=self.instance,
-            instances=self.platform.instances,
+            instances=self.count('members').instances,
             peers=self.peers,
             roster=self.membership.mailbox,
             clock=self.clock,
             seeds=self.seeds,
         )
 
-    def _open_store_reader(self) -> StoreReader:
+    def _open_store_reader(self, poll_s: float) -> StoreReader:
         return StoreReader(
-            platform=self.platform,
+            platform=self.count('head'),
             instance=self.instance,
             clock=self.clock,
-            poll_s=self.poll_s,
+            poll_s=poll_s,
             follower=self.follower.mailbox,
         )
 
-    def _open_peer_reader(self) -> PeerReader:
+    def _open_peer_reader(self, poll_s: float) -> PeerReader:
         return PeerReader(
             instance=self.instance,
             peers=self.peers,
             quorum=self.quorum,
             fetcher=self.fetcher,
             clock=self.clock,
-            poll_s=self.poll_s,
+            poll_s=poll_s,
             follower=self.follower.mailbox,
             seeds=self.seeds,
         )
 
     def _open_committer(self) -> QuorumCommitter:
         return QuorumCommitter(
-            platform=self.platform,
+            platform=self.count('changes'),
             quorum=self.quorum,
             clock=self.clock,
             members=self.membership.mailbox,
@@ -188,7 +200,7 @@
     def _open_registrar(self) -> Registrar:
         return Registrar(
             name=self.instance.name,
-            platform=self.platform,
+            platform=self.count('registration'),
             relay=self.relay.mailbox,
             clock=self.clock,
         )
--- a/src/currantspur/wire/telemetry.py
+++ b/src/currantspur/wire/telemetry.py
@@ -9,6 +9,8 @@
 from opentelemetry.trace import NoOpTracer, Tracer
 from prometheus_client import CollectorRegistry, Counter, Histogram
 
+from currantspur.platform.counting import CallCounter, CallKind
+
 SECONDS_BUCKETS = (
     0.001,
     0.0025,
@@ -25,13 +27,32 @@
 )
 
 
+class PlatformCalls(CallCounter):
+    """Count calls to the platform as a metric."""
+
+    __slots__ = ('calls',)
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self.calls = Counter(
+            'currantspur_platform_calls',
+            'Calls to the platform by mechanism.',
+            ['mechanism', 'kind'],
+            registry=registry,
+        )
+
+    def count(self, mechanism: str, kind: CallKind) -> None:
+        """Count one call that a mechanism makes."""
+        self.calls.labels(mechanism, kind).inc()
+
+
 class Metrics:
     """Hold the metrics of one instance in a registry of its own."""
 
-    __slots__ = ('lookups', 'registry', 'requests', 'seconds')
+    __slots__ = ('lookups', 'platform_calls', 'registry', 'requests', 'seconds')
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        self.platform_calls = PlatformCalls(self.registry)
         self.requests = Counter(
             'currantspur_requests',
             'Requests by how they ended.',
--- a/tests/control_fleet.py
+++ b/tests/control_fleet.py
@@ -229,6 +229,10 @@
             for name, node in self.nodes.items()
         }
 
+    def newest_head(self):
+        heads = [node.control.follower.head for node in self.nodes.values()]
+        return max(heads, key=lambda head: head.version)
+
     async def commit(self, name, configuration, *, base, change_id, author='a'):
         body = print_configuration(configuration).encode()
         change = Change(
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -21,6 +21,8 @@
 EVERY = {f'entry-{number}' for number in range(1, 7)}
 CUT_OFF = {'entry-5', 'entry-6'}
 CUT = EVERY - CUT_OFF
+WRITER = 'entry-5'
+REST = sorted(EVERY - {WRITER})
 FAULT_S = 8
 WITHDRAW_S = 10
 RESTART_S = 16
@@ -56,6 +58,14 @@
     return lambda fleet: fleet.crash(name)
 
 
+def restart_one(name):
+    return lambda fleet: fleet.restart(name)
+
+
+def cut_writer(fleet):
+    fleet.cut({WRITER}, EVERY - {WRITER})
+
+
 def heal(fleet):
     fleet.faults.replace([])
     fleet.cuts.clear()
@@ -113,7 +123,13 @@
             log.append((fleet.clock.now(), head.version))
 
 
-async def play(faults, *, writer='entry-1', restart=None):
+async def follow(fleet, script):
+    for at, action in script:
+        await asyncio.sleep(at - fleet.clock.now())
+        action(fleet)
+
+
+async def play(script, *, writer='entry-1'):
     fleet = ControlFleet(ZONES)
     await asyncio.sleep(3)
     await fleet.commit(
@@ -122,18 +138,12 @@
     watch = Watch(fleet)
     watching = asyncio.create_task(watch.run())
     log = []
-    await asyncio.sleep(FAULT_S - fleet.clock.now())
-    for fault in faults:
-        fault(fleet)
-    await asyncio.sleep(WITHDRAW_S - FAULT_S)
+    failing = asyncio.create_task(follow(fleet, script))
+    await asyncio.sleep(WITHDRAW_S - fleet.clock.now())
     writing = asyncio.create_task(withdraw(fleet, writer, log))
-    await asyncio.sleep(RESTART_S - WITHDRAW_S)
-    if restart:
-        fleet.restart(restart)
-    await asyncio.sleep(HEAL_S - RESTART_S)
-    heal(fleet)
-    await asyncio.sleep(END_S - HEAL_S)
-    await writing
+    await asyncio.sleep(END_S - WITHDRAW_S)
+    await failing
+    writing.cancel()
     watching.cancel()
     fleet.close()
     return fleet, watch, log
@@ -197,10 +207,107 @@
     faults, serving, accepted = TABLE[name]
     if (name, restart) in NO_MAJORITY:
         serving = set()
-    fleet, watch, log = run_virtual(play(faults, restart=restart))
+    script = [(FAULT_S, fault) for fault in faults]
+    if restart:
+        script.append((RESTART_S, restart_one(restart)))
+    script.append((HEAL_S, heal))
+    fleet, watch, log = run_virtual(play(script))
     assert watch.serving(CHECK_S) == serving
     assert (log[0][0] < HEAL_S) is accepted
     if accepted:
         check_promises(fleet, watch, serving - {restart})
     else:
         check_promises(fleet, watch, EVERY)
+
+
+SLOW_WRITE = {
+    'kind': 'slow',
+    'seconds': 3.0,
+    'calls': ['commit'],
+    'parties': [WRITER],
+}
+SLOW_READ = {
+    'kind': 'slow_answer',
+    'seconds': 1.2,
+    'calls': ['read'],
+    'parties': sorted(CUT_OFF),
+}
+REST_AWAY = {'kind': 'outage', 'parties': REST}
+SENT_S = 11
+LANDS_S = 12.9
+RESTARTS = [(SENT_S, restart_one(name)) for name in REST]
+# The writer is the only one that may reach the store when its write lands.
+RACES = {
+    'writer cut off while its write is under way': (
+        [
+            (FAULT_S, set_faults(SLOW_WRITE, REST_AWAY)),
+            (SENT_S, cut_writer),
+        ],
+        {WRITER},
+    ),
+    'witnesses restart and cannot register': (
+        [
+            (FAULT_S, set_faults(SLOW_WRITE, REST_AWAY)),
+            (SENT_S, cut_writer),
+            *RESTARTS,
+        ],
+        {WRITER},
+    ),
+    'witnesses restart and register before it lands': (
+        [
+            (FAULT_S, set_faults(SLOW_WRITE)),
+            *RESTARTS,
+            (LANDS_S, set_faults(SLOW_WRITE, REST_AWAY)),
+            (LANDS_S, cut_writer),
+        ],
+        EVERY,
+    ),
+    'writer crashes while its write is under way': (
+        [
+            (FAULT_S, set_faults(SLOW_WRITE)),
+            (SENT_S, restart_one(WRITER)),
+            (LANDS_S + 8, set_faults(DOWN)),
+        ],
+        EVERY,
+    ),
+    'cut off while slow answers are under way': (
+        [
+            (FAULT_S, set_faults(SLOW_READ)),
+            (FAULT_S, cut_peers),
+            (WITHDRAW_S, set_faults(SLOW_READ, ALONE)),
+        ],
+        CUT,
+    ),
+    'two committers dead, then the store': (
+        [
+            (FAULT_S, crash('entry-2')),
+            (FAULT_S, crash('entry-3')),
+            (SENT_S, set_faults(DOWN)),
+        ],
+        EVERY - {'entry-2', 'entry-3'},
+    ),
+    'three committers dead, then the store': (
+        [
+            (FAULT_S, crash('entry-2')),
+            (FAULT_S, crash('entry-3')),
+            (FAULT_S, crash('entry-4')),
+            (SENT_S, set_faults(DOWN)),
+        ],
+        set(),
+    ),
+}
+
+
+WRITERS = {'cut off while slow answers are under way': 'entry-1'}
+
+
+@pytest.mark.parametrize('name', RACES)
+def test_promises_when_writes_race_failures(name):
+    script, serving = RACES[name]
+    fleet, watch, _ = run_virtual(
+        play([*script, (HEAL_S, heal)], writer=WRITERS.get(name, WRITER))
+    )
+    watch.check_versions()
+    assert watch.serving(CHECK_S) == serving
+    if len(fleet.table.landed) > 1:
+        assert watch.last_withdrawn() <= fleet.table.landed[1] + FRESH_S
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -22,6 +22,7 @@
         (Fault(kind='outage', calls=['read']), 'one', False, True, 0),
         (Fault(kind='outage', count=0), 'one', False, True, 0),
         (Fault(kind='slow', seconds=3), 'one', False, True, 3),
+        (Fault(kind='slow_answer', seconds=3), 'one', False, True, 3),
         (Fault(kind='lost_answer', count=1), 'one', True, True, 0),
     ],
 )
