--- a/src/currantspur/tasks/membership.py
+++ b/src/currantspur/tasks/membership.py
@@ -125,6 +125,11 @@
             self.members = message.instances
         return False
 
+    def spread_s(self) -> float:
+        """Return the seconds until all have read what was announced."""
+        relays_wait_s = max(LIST_S, LIST_S_PER_MEMBER * len(self.members))
+        return relays_wait_s + LIST_S + ASK_S
+
     async def leave(self) -> None:
         """Announce that this instance is leaving."""
         self.instance.state = 'leaving'
