--- a/src/currantspur/decisions/slots.py
+++ b/src/currantspur/decisions/slots.py
@@ -6,9 +6,9 @@
     Configuration,
     Part,
     Target,
-    Verdict,
     name_slots_limit,
 )
+from currantspur.messages.traffic import Verdict
 
 DRAIN_CHECK_S = 0.25
 SLOTS_PREFIX = name_slots_limit('')
