--- a/src/currantspur/platform/counting.py
+++ b/src/currantspur/platform/counting.py
@@ -1,14 +1,10 @@
-"""Count the calls to a platform by kind and outcome."""
+"""Count the calls to the platform by mechanism."""
 
+from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterable
-from typing import TypeVar
+from collections.abc import Iterable
+from typing import Literal
 
-from currantspur.errors import (
-    ConflictError,
-    ObjectMissingError,
-    PlatformError,
-)
 from currantspur.messages import Instance
 from currantspur.platform.ports import (
     InstanceList,
@@ -19,103 +15,114 @@
     Transaction,
 )
 
-Outcome = TypeVar('Outcome')
-ANSWERED = (ConflictError, ObjectMissingError)
+CallKind = Literal['read', 'write']
+
+
+class CallCounter(ABC):
+    """Take note of calls to the platform."""
 
+    __slots__ = ()
 
-class CallCounts:
-    """Hold how many calls were answered and how many were not."""
+    @abstractmethod
+    def count(self, mechanism: str, kind: CallKind) -> None:
+        """Count one call that a mechanism makes."""
 
-    __slots__ = ('answered', 'failed')
+
+class CallTally(CallCounter):
+    """Keep the counts in a mapping."""
+
+    __slots__ = ('calls',)
 
     def __init__(self) -> None:
-        self.answered: Counter[str] = Counter()
-        self.failed: Counter[str] = Counter()
-
-    async def run(
-        self, call: str, work: Callable[[], Awaitable[Outcome]]
-    ) -> Outcome:
-        """Do the work of a call and count how it ended."""
-        try:
-            outcome = await work()
-        except PlatformError as error:
-            counts = self.answered
-            if not isinstance(error, ANSWERED):
-                counts = self.failed
-            counts[call] += 1
-            raise
-        self.answered[call] += 1
-        return outcome
+        self.calls: Counter[tuple[str, str]] = Counter()
+
+    def count(self, mechanism: str, kind: CallKind) -> None:
+        """Count one call that a mechanism makes."""
+        self.calls[mechanism, kind] += 1
 
 
 class CountedTable(Table):
-    """Pass calls to a table on and count them."""
+    """Count the calls to a table."""
 
-    __slots__ = ('counts', 'table')
+    __slots__ = ('counter', 'mechanism', 'table')
 
-    def __init__(self, table: Table, counts: CallCounts) -> None:
+    def __init__(
+        self, table: Table, counter: CallCounter, mechanism: str
+    ) -> None:
         self.table = table
-        self.counts = counts
+        self.counter = counter
+        self.mechanism = mechanism
 
     async def read(self, keys: Iterable[str]) -> dict[str, Row]:
         """Return the rows that exist, all as of one moment."""
-        return await self.counts.run('read', lambda: self.table.read(keys))
+        self.counter.count(self.mechanism, 'read')
+        return await self.table.read(keys)
 
     async def scan(self, prefix: str, *, limit: int) -> list[Row]:
         """Return the first rows whose keys start with a prefix, in order."""
-        return await self.counts.run(
-            'scan', lambda: self.table.scan(prefix, limit=limit)
-        )
+        self.counter.count(self.mechanism, 'read')
+        return await self.table.scan(prefix, limit=limit)
 
     async def commit(self, transaction: Transaction) -> dict[str, int]:
         """Write all or nothing; return versions or raise ConflictError."""
-        return await self.counts.run(
-            'commit', lambda: self.table.commit(transaction)
-        )
+        self.counter.count(self.mechanism, 'write')
+        return await self.table.commit(transaction)
 
 
 class CountedObjectStore(ObjectStore):
-    """Pass calls to an object store on and count them."""
+    """Count the calls to an object store."""
 
-    __slots__ = ('counts', 'store')
+    __slots__ = ('counter', 'mechanism', 'store')
 
-    def __init__(self, store: ObjectStore, counts: CallCounts) -> None:
+    def __init__(
+        self, store: ObjectStore, counter: CallCounter, mechanism: str
+    ) -> None:
         self.store = store
-        self.counts = counts
+        self.counter = counter
+        self.mechanism = mechanism
 
     async def put(self, name: str, body: bytes) -> None:
         """Store an object under a name."""
-        await self.counts.run('put', lambda: self.store.put(name, body))
+        self.counter.count(self.mechanism, 'write')
+        await self.store.put(name, body)
 
     async def get(self, name: str) -> bytes:
         """Return an object or raise ObjectMissingError."""
-        return await self.counts.run('get', lambda: self.store.get(name))
+        self.counter.count(self.mechanism, 'read')
+        return await self.store.get(name)
 
 
 class CountedInstanceList(InstanceList):
-    """Pass calls to an instance list on and count them."""
+    """Count the calls to an instance list."""
 
-    __slots__ = ('counts', 'instances')
+    __slots__ = ('counter', 'instances', 'mechanism')
 
-    def __init__(self, instances: InstanceList, counts: CallCounts) -> None:
+    def __init__(
+        self, instances: InstanceList, counter: CallCounter, mechanism: str
+    ) -> None:
         self.instances = instances
-        self.counts = counts
+        self.counter = counter
+        self.mechanism = mechanism
 
     async def announce(self, instance: Instance) -> None:
         """Say that an instance is live or leaving."""
-        await self.counts.run(
-            'announce', lambda: self.instances.announce(instance)
-        )
+        self.counter.count(self.mechanism, 'write')
+        await self.instances.announce(instance)
 
     async def list(self) -> tuple[Instance, ...]:
         """Return the instances as the platform last saw them."""
-        return await self.counts.run('list', self.instances.list)
+        self.counter.count(self.mechanism, 'read')
+        return await self.instances.list()
 
 
-def count_calls(platform: Platform, counts: CallCounts) -> Platform:
-    """Return a platform whose calls are counted."""
+def count_calls(
+    platform: Platform, counter: CallCounter, mechanism: str
+) -> Platform:
+    """Return a platform whose calls count for a mechanism."""
     return Platform(
-        table=CountedTable(platform.table, counts),
-        object_store=CountedObjectStore(platform.object_store, counts),
-        instances=CountedInstanceList(platform.instances, counts),
+        table=CountedTable(platform.table, counter, mechanism),
+        object_store=CountedObjectStore(
+            platform.object_store, counter, mechanism
+        ),
+        instances=CountedInstanceList(platform.instances, counter, mechanism),
     )
