--- a/src/currantspur/wire/listener.py
+++ b/src/currantspur/wire/listener.py
@@ -45,6 +45,7 @@
 MS_PER_S = 1000.0
 LOOKUP_PATH = '/-/entries'
 ID_LIMIT = 128
+DIGITS_LIMIT = 12
 SHORT_BYTES = 16_384
 CONTENT_LENGTH = 'content-length'
 BODYLESS_STATUSES = frozenset((204, 304))
@@ -223,7 +224,7 @@
 def read_request_id(request: web.Request) -> str:
     """Return the caller's request id where it is usable, else a new one."""
     given = request.headers.get(names.REQUEST_ID_HEADER, '')
-    if given.isascii() and given.isprintable() and 0 < len(given) <= ID_LIMIT:
+    if is_identifier(given):
         return given
     return uuid4().hex
 
@@ -234,11 +235,13 @@
     if shown is not None and not shown.startswith(names.KEY_SCHEME):
         raise ValueError('Authorization: expected a Bearer key')
     timeout = request.headers.get(names.TIMEOUT_HEADER)
-    if timeout is not None and not (timeout.isascii() and timeout.isdecimal()):
+    if timeout is not None and not is_whole(timeout):
         raise ValueError('X-Request-Timeout-Ms: expected a whole number')
     idempotency_key = request.headers.get(names.IDEMPOTENCY_HEADER)
-    if idempotency_key is not None and len(idempotency_key) > ID_LIMIT:
-        raise ValueError(f'Idempotency-Key: longer than {ID_LIMIT}')
+    if idempotency_key is not None and not is_identifier(idempotency_key):
+        raise ValueError(
+            f'Idempotency-Key: expected 1 to {ID_LIMIT} printable characters'
+        )
     return Arrival(
         request_id=request_id,
         at=at,
@@ -250,6 +253,16 @@
     )
 
 
+def is_identifier(text: str) -> bool:
+    """Tell whether a text can name a request in rows, logs and traces."""
+    return text.isascii() and text.isprintable() and 0 < len(text) <= ID_LIMIT
+
+
+def is_whole(text: str) -> bool:
+    """Tell whether a text is a whole number of few digits."""
+    return text.isascii() and text.isdecimal() and len(text) <= DIGITS_LIMIT
+
+
 def read_outgoing(request: web.Request, request_id: str) -> Outgoing:
     """Describe what the target gets: never the caller's key."""
     kept = dict(
