--- a/bench/runner.py
+++ b/bench/runner.py
@@ -15,7 +15,15 @@
 from bench.case import Case
 
 ROOT = Path(__file__).resolve().parent.parent
-MODULES = ('pure', 'http', 'carrying', 'steering', 'lending', 'control')
+MODULES = (
+    'pure',
+    'http',
+    'carrying',
+    'steering',
+    'lending',
+    'control',
+    'peers',
+)
 Readings = dict[str, dict[str, Any]]
 
 
