Measure an earlier commit's daemons with this commit's cases

Cause: an earlier commit has no bench, or another one, so that figures could not be compared in one run.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,15 +2,17 @@
 
 import json
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 
 import cyclopts
 
 from bench.runner import (
     ROOT,
+    Readings,
     fold,
     measure,
-    measure_in,
+    measure_apart,
     open_revision,
     print_table,
 )
@@ -41,16 +43,19 @@
     output.write_text(json.dumps(written, indent=2), encoding='utf-8')
 
 
-def _repeat(cases, repeats, seed, compare):
+def _repeat(
+    cases: Sequence[str], repeats: int, seed: int, compare: str | None
+) -> tuple[Readings, Readings]:
     now = []
     before = []
     if compare is None:
-        now = [measure_in(ROOT, cases, seed) for _ in range(repeats)]
+        now = [measure_apart(cases, seed) for _ in range(repeats)]
         return fold(now), {}
     with open_revision(compare) as tree:
         for _ in range(repeats):
-            before.append(measure_in(tree, cases, seed))
-            now.append(measure_in(ROOT, cases, seed))
+            earlier = tree / 'src'
+            before.append(measure_apart(cases, seed, source=earlier))
+            now.append(measure_apart(cases, seed))
     return fold(now), fold(before)
 
 
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -11,23 +11,30 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 from http import HTTPStatus
 from pathlib import Path
+from uuid import uuid4
 
 import aiohttp
 import yaml
 from aiohttp import web
 
-from currantspur.messages import Configuration, Head
-from currantspur.platform import Platform, publish
-from currantspur.settings import to_plain
+from currantspur.decisions.operators import mint_operator_key
+from currantspur.messages import Configuration
+from currantspur.platform import Platform
+from currantspur.settings import print_configuration, to_plain
 from currantspur.standins import TargetStandin
 from currantspur.standins.workloads import (
     Workload,
     describe_workload,
     name_targets,
 )
+from currantspur.wire.admin_client import AdminClient, AdminError
 from currantspur.wire.platform_http import PlatformClient, open_platform
 
 HOST = '127.0.0.1'
+# Where processes take the package from, to measure an earlier commit.
+SOURCE = 'BENCH_SOURCE'
+HERE = str(Path(__file__).resolve().parent.parent / 'src')
+APPLY_TRIES = 20
 READY_TRIES = 200
 READY_STEP_S = 0.05
 STOP_S = 40.0
@@ -47,6 +54,7 @@
         self.admin = ''
         self.popen = subprocess.Popen(
             [sys.executable, '-m', 'currantspur', *words],
+            env={**os.environ, 'PYTHONPATH': os.environ.get(SOURCE, HERE)},
             stdout=subprocess.DEVNULL,
             stderr=subprocess.DEVNULL,
         )
@@ -96,6 +104,8 @@
     __slots__ = (
         'daemons',
         'folder',
+        'operator',
+        'operator_key',
         'platform',
         'platform_address',
         'platform_process',
@@ -111,6 +121,9 @@
         self.daemons: list[Process] = []
         self.targets: dict[str, TargetStandin] = {}
         self.version = 0
+        secret, kept = mint_operator_key('bench', 'change')
+        self.operator = kept
+        self.operator_key = secret
         self.platform: Platform
         self.platform_address = ''
         self.platform_process: Process
@@ -156,6 +169,8 @@
             'platform': self.platform_address,
             **settings,
         }
+        if SOURCE not in os.environ:
+            plain['operators'] = [self.operator]
         path = self.folder / f'{name}.yaml'
         path.write_text(yaml.safe_dump(to_plain_settings(plain)))
         daemon = self.spawn(name, ['entry', '--settings', str(path)])
@@ -171,23 +186,55 @@
         self.stack.push_async_callback(process.end)
         return process
 
-    async def apply(self, configuration: Configuration) -> Head:
-        """Publish a configuration on top of the newest version."""
-        head = await publish(
-            self.platform,
-            configuration,
-            author='bench',
-            change_id=f'bench-{self.version}',
-            base_version=self.version,
-        )
-        self.version = head.version
-        return head
+    async def apply(self, configuration: Configuration) -> None:
+        """Put a configuration into force as an operator would."""
+        text = print_configuration(configuration)
+        if SOURCE in os.environ:
+            await self._publish(text)
+            return
+        async with AdminClient(
+            self.daemons[0].admin, key=self.operator_key
+        ) as client:
+            for _ in range(APPLY_TRIES):
+                if await self._change(client, text):
+                    return
+        raise TimeoutError('other changes kept coming first')
 
     async def wait_ready(self) -> None:
         """Wait until every daemon has a version in force."""
         for daemon in self.daemons:
             await self._wait(f'http://{daemon.admin}/ready')
 
+    async def _change(self, client: AdminClient, text: str) -> bool:
+        base = await client.get('/v1/configuration')
+        change = {
+            'text': text,
+            'file': 'bench',
+            'base_version': base['version'],
+            'change_id': uuid4().hex,
+        }
+        try:
+            await client.post('/v1/changes', change)
+        except AdminError as error:
+            if error.code != 'conflict':
+                raise
+            return False
+        return True
+
+    async def _publish(self, text: str) -> None:
+        words = ['-m', 'bench.publishing', self.platform_address]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *words,
+            str(self.version),
+            stdin=asyncio.subprocess.PIPE,
+            env={**os.environ, 'PYTHONPATH': f'{os.environ[SOURCE]}:.'},
+        )
+        await process.communicate(text.encode())
+        if process.returncode:
+            raise AssertionError('could not publish')
+        self.version += 1
+
     async def _wait(self, url: str) -> None:
         for _ in range(READY_TRIES):
             if await self._is_served(url):
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from bench.case import Case
+from bench.processes import SOURCE
 
 ROOT = Path(__file__).resolve().parent.parent
 MODULES = (
@@ -64,13 +65,19 @@
             _git('worktree', 'remove', '--force', str(tree))
 
 
-def measure_in(tree: Path, names: Sequence[str], seed: int) -> Readings:
-    """Return the figures of one run in a process of its own."""
-    path = f'{tree / "src"}{os.pathsep}{tree}'
+def measure_apart(
+    names: Sequence[str], seed: int, *, source: Path | None = None
+) -> Readings:
+    """Return the figures of one run in a process of its own.
+
+    The cases are always this commit's; the daemons that they start come from
+    the source named, so that an earlier commit is measured in the same way.
+    """
+    chosen = {SOURCE: str(source)} if source else {}
     done = subprocess.run(
         [sys.executable, '-m', 'bench', '--once', f'--seed={seed}', *names],
-        cwd=tree,
-        env={**os.environ, 'PYTHONPATH': path},
+        cwd=ROOT,
+        env={**os.environ, 'PYTHONPATH': 'src', **chosen},
         capture_output=True,
         text=True,
         check=False,
