Find sites by packed chunks of blocks and weigh entries

Cause: look-ups scanned a list of blocks, and weights were equal. Change: blocks are cut into chunks by leading bits, flattened into packed ranges and found by two bisections; chunks are objects named by content under the section 'blocks', fetched only when changed. Sites may differ from availability zones. Answers are prepared for each site and team, weighted by flows and by the holders of a team's rate.

--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -11,6 +11,7 @@
 from currantspur.settings import DaemonSettings
 from currantspur.tasks import (
     AdmissionTask,
+    BlockLoader,
     Clock,
     Exchange,
     Journal,
@@ -34,6 +35,7 @@
 
     __slots__ = (
         'admission',
+        'blocks',
         'client',
         'clock',
         'jobs',
@@ -67,6 +69,11 @@
         )
         self.steering = SteeringTask()
         self.journal = Journal()
+        self.blocks = BlockLoader(
+            store=open_platform(self.client).object_store,
+            clock=self.clock,
+            steering=self.steering.mailbox,
+        )
         self.link = self._open_link()
         self.jobs: list[asyncio.Task[None]] = []
         self.runners: list[Any] = []
@@ -119,7 +126,13 @@
         self.jobs.append(asyncio.create_task(work))
 
     def _tasks(self) -> tuple[Task, ...]:
-        return (self.admission, self.pool, self.steering, self.journal)
+        return (
+            self.admission,
+            self.pool,
+            self.steering,
+            self.journal,
+            self.blocks,
+        )
 
     def _open_link(self) -> PlatformLink:
         settings = self.settings
@@ -129,7 +142,7 @@
             peer=settings.peer,
             availability_zone=settings.availability_zone,
         )
-        tasks = (self.admission, self.pool, self.steering)
+        tasks = (self.admission, self.pool, self.steering, self.blocks)
         return PlatformLink(
             platform=open_platform(self.client),
             instance=instance,
--- a/src/currantspur/decisions/nearness.py
+++ b/src/currantspur/decisions/nearness.py
@@ -1,77 +1,92 @@
 """Choose the entry instances that a client should use."""
 
-from collections.abc import Iterable
-from ipaddress import ip_address
+from collections.abc import Iterable, Mapping
 
+from currantspur.decisions.blocks import BlockTable
+from currantspur.decisions.chunks import cut_blocks
+from currantspur.decisions.spread import Flows, Holders, Spread
 from currantspur.messages import (
-    Block,
+    BlockChange,
     Configuration,
-    Entry,
     Instance,
     LookupAnswer,
 )
 
 
 class EntryTable:
-    """Answer look-ups from blocks, regions and the list of instances."""
+    """Answer look-ups from blocks, flows and the list of instances."""
 
-    __slots__ = ('blocks', 'cache_s', 'instances', 'regions')
+    __slots__ = ('answers', 'blocks', 'cache_s', 'inline', 'sites', 'spread')
 
     def __init__(self) -> None:
-        self.blocks: tuple[Block, ...] = ()
-        self.regions: dict[str, str] = {}
+        self.blocks = BlockTable()
+        self.inline: BlockTable | None = None
+        self.sites: dict[str, str] = {}
         self.cache_s = 1.0
-        self.instances: tuple[Instance, ...] = ()
+        self.spread = Spread()
+        self.answers: dict[tuple[str | None, str | None], LookupAnswer] = {}
 
     def configure(self, configuration: Configuration) -> None:
-        """Take the blocks, regions and cache time of a version."""
-        longest_first = sorted(
-            configuration.blocks, key=lambda block: -block.network.prefixlen
-        )
-        self.blocks = tuple(longest_first)
+        """Take the blocks, sites, regions and cache time of a version."""
+        has_blocks = bool(configuration.blocks)
+        self.inline = load_blocks(configuration) if has_blocks else None
         self.cache_s = configuration.steering.cache_s
-        self.regions = {
-            zone: region.name
-            for region in configuration.regions
-            for zone in region.availability_zones
+        self.sites = {
+            site.name: site.availability_zone for site in configuration.sites
         }
+        self.spread.configure(configuration)
+        self.answers.clear()
+
+    def change(self, change: BlockChange) -> None:
+        """Take changed chunks of the blocks."""
+        self.blocks.apply(change)
 
     def replace(self, instances: Iterable[Instance]) -> None:
         """Take the members; leaving ones are no longer answered."""
-        self.instances = tuple(
-            instance for instance in instances if instance.state == 'live'
-        )
+        self.spread.replace(instances)
+        self.answers.clear()
+
+    def steer(self, flows: Flows) -> None:
+        """Take the share of each origin's callers that a zone gets."""
+        self.spread.flows = flows
+        self.answers.clear()
 
-    def find_site(self, client: str) -> str | None:
+    def hold(self, holders: Mapping[str, Holders]) -> None:
+        """Take the instances that hold a part of each team's rate."""
+        self.spread.holders = dict(holders)
+        self.answers.clear()
+
+    def find_site(self, client: bytes) -> str | None:
         """Return the site of the longest block that holds a client."""
-        address = ip_address(client)
-        for block in self.blocks:
-            if address in block.network:
-                return block.site
-        return None
-
-    def answer(self, client: str) -> LookupAnswer:
-        """Return the entries of the nearest availability zone that has any."""
+        if self.inline is not None:
+            site = self.inline.find(client)
+            if site is not None:
+                return site
+        return self.blocks.find(client)
+
+    def answer(self, client: bytes, team: str | None = None) -> LookupAnswer:
+        """Return the entries for a client's packed address."""
         site = self.find_site(client)
-        ranked = sorted({self._distance(site, one) for one in self.instances})
-        nearest = [
-            instance
-            for instance in self.instances
-            if ranked and self._distance(site, instance) == ranked[0]
-        ]
-        entries = tuple(
-            Entry(
-                instance=instance.name,
-                address=instance.address,
-                availability_zone=instance.availability_zone,
-                weight=1 / len(nearest),
-            )
-            for instance in nearest
+        if team not in self.spread.holders:
+            team = None
+        answer = self.answers.get((site, team))
+        return answer or self._prepare(site, team)
+
+    def _prepare(self, site: str | None, team: str | None) -> LookupAnswer:
+        zone = self.sites.get(site, site) if site else None
+        answer = LookupAnswer(
+            entries=self.spread.choose(zone, team),
+            cache_s=self.cache_s,
+            site=site,
         )
-        return LookupAnswer(entries=entries, cache_s=self.cache_s, site=site)
+        self.answers[site, team] = answer
+        return answer
+
 
-    def _distance(self, site: str | None, instance: Instance) -> int:
-        zone = instance.availability_zone
-        if site is None or zone == site:
-            return 0
-        return 1 if self.regions.get(zone) == self.regions.get(site) else 2
+def load_blocks(configuration: Configuration) -> BlockTable:
+    """Return the table of the blocks listed in a configuration."""
+    table = BlockTable()
+    chunks = tuple(cut_blocks(configuration.blocks))
+    prefixes = tuple(chunk.prefix for chunk in chunks)
+    table.apply(BlockChange(chunks=chunks, prefixes=prefixes))
+    return table
--- a/src/currantspur/messages/__init__.py
+++ b/src/currantspur/messages/__init__.py
@@ -1,6 +1,12 @@
 """Re-export the messages that tasks, filters and front ends pass."""
 
 from currantspur.messages.base import Message, fields
+from currantspur.messages.blocks import (
+    BlockChange,
+    BlockChunk,
+    Prefix,
+    PrefixColumns,
+)
 from currantspur.messages.configuration import (
     Block,
     Configuration,
@@ -9,6 +15,7 @@
     Link,
     Region,
     Route,
+    Site,
     Steering,
     Target,
     Team,
@@ -60,6 +67,8 @@
     'Arrival',
     'Assignment',
     'Block',
+    'BlockChange',
+    'BlockChunk',
     'Change',
     'Configuration',
     'Decision',
@@ -82,6 +91,8 @@
     'Parts',
     'Passage',
     'Plan',
+    'Prefix',
+    'PrefixColumns',
     'Proof',
     'ProofAnswer',
     'ProofRequest',
@@ -89,6 +100,7 @@
     'Refusal',
     'Region',
     'Route',
+    'Site',
     'SlotRelease',
     'SlotRequest',
     'Steering',
--- a/src/currantspur/messages/configuration.py
+++ b/src/currantspur/messages/configuration.py
@@ -124,6 +124,16 @@
         self.site = site
 
 
+class Site(Message):
+    """Name a place of clients by the availability zone nearest to it."""
+
+    __slots__ = ('availability_zone', 'name')
+
+    def __init__(self, *, name: str, availability_zone: str) -> None:
+        self.name = name
+        self.availability_zone = availability_zone
+
+
 class Drain(Message):
     """Plan that a target, availability zone or region stops taking work."""
 
@@ -178,6 +188,7 @@
         'links',
         'regions',
         'routes',
+        'sites',
         'steering',
         'targets',
         'teams',
@@ -194,6 +205,7 @@
         links: tuple[Link, ...] = (),
         blocks: tuple[Block, ...] = (),
         drains: tuple[Drain, ...] = (),
+        sites: tuple[Site, ...] = (),
         steering: Steering | None = None,
     ) -> None:
         self.routes = routes
@@ -204,4 +216,5 @@
         self.links = links
         self.blocks = blocks
         self.drains = drains
+        self.sites = sites
         self.steering = steering or Steering()
--- a/src/currantspur/messages/traffic.py
+++ b/src/currantspur/messages/traffic.py
@@ -108,10 +108,11 @@
         self,
         *,
         at: float,
-        client: str,
+        client: bytes,
         service: str | None = None,
         team: str | None = None,
     ) -> None:
+        """Take the client's address as 4 or 16 packed bytes."""
         self.at = at
         self.client = client
         self.service = service
--- a/src/currantspur/pipelines/lookup.py
+++ b/src/currantspur/pipelines/lookup.py
@@ -18,7 +18,7 @@
     def run(self, stream: Iterable[LookupQuery]) -> Iterator[LookupAnswer]:
         """Yield an answer for each query."""
         for query in stream:
-            yield self.table.answer(query.client)
+            yield self.table.answer(query.client, query.team)
 
 
 def assemble_lookup(table: EntryTable) -> Pipeline:
--- a/src/currantspur/settings/configuration.py
+++ b/src/currantspur/settings/configuration.py
@@ -35,6 +35,7 @@
         links=tuple(map(_read_link, root.each('links'))),
         blocks=tuple(map(_read_block, root.each('blocks'))),
         drains=tuple(map(_read_drain, root.each('drains'))),
+        sites=tuple(map(_read_site, root.each('sites'))),
         steering=_read_steering(root.child('steering')),
     )
     root.finish()
@@ -164,6 +165,15 @@
     return block
 
 
+def _read_site(cursor: Cursor) -> written.Site:
+    site = written.Site(
+        name=cursor.text('name'),
+        availability_zone=cursor.text('availability_zone'),
+    )
+    cursor.finish()
+    return site
+
+
 def _read_drain(cursor: Cursor) -> written.Drain:
     drain = written.Drain(
         drain_id=cursor.text('drain_id'),
@@ -205,12 +215,13 @@
     _check_names(root, 'keys', 'team', teams)
     _check_names(root, 'links', 'origin', regions)
     _check_names(root, 'links', 'destination', regions)
-    _check_names(root, 'blocks', 'site', zones)
+    sites = {site.name for site in configuration.sites}
+    _check_names(root, 'sites', 'availability_zone', zones)
+    _check_names(root, 'blocks', 'site', zones | sites)
+    for section in ('teams', 'targets', 'regions', 'sites'):
+        _check_unique(root, section, 'name')
     for section, name in (
-        ('teams', 'name'),
         ('keys', 'key_id'),
-        ('targets', 'name'),
-        ('regions', 'name'),
         ('routes', 'prefix'),
         ('drains', 'drain_id'),
     ):
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -1,6 +1,7 @@
 """Run tasks that own their state and talk by messages."""
 
 from currantspur.tasks.admission import AdmissionTask
+from currantspur.tasks.blocks import BlockLoader
 from currantspur.tasks.clock import Clock, SystemClock
 from currantspur.tasks.committer import Committer, DirectCommitter
 from currantspur.tasks.exchange import Exchange, TargetPort
@@ -15,6 +16,7 @@
 
 __all__ = (
     'AdmissionTask',
+    'BlockLoader',
     'Clock',
     'Committer',
     'DirectCommitter',
--- a/src/currantspur/tasks/mailbox.py
+++ b/src/currantspur/tasks/mailbox.py
@@ -57,6 +57,10 @@
     async def take(self) -> list[Letter]:
         """Wait for letters and return all that are there."""
         await self.arrived.wait()
+        return self.drain()
+
+    def drain(self) -> list[Letter]:
+        """Return all letters that are there, without waiting."""
         self.arrived.clear()
         taken = list(self.letters)
         self.letters.clear()
--- a/src/currantspur/wire/listener.py
+++ b/src/currantspur/wire/listener.py
@@ -1,7 +1,7 @@
 """Serve callers over HTTP: look-ups and requests."""
 
+import socket
 from collections.abc import AsyncGenerator, AsyncIterator
-from ipaddress import ip_address
 from uuid import uuid4
 
 import orjson
@@ -66,10 +66,10 @@
 
     async def look_up(self, request: web.Request) -> web.Response:
         """Answer which entries a client should use."""
-        client = request.query.get('client') or request.remote or ''
+        query = request.query
         try:
-            ip_address(client)
-        except ValueError:
+            client = pack_address(query.get('client') or request.remote or '')
+        except OSError:
             return encode_refusal(
                 Refusal(code='bad_request', detail='client: not an IP number'),
                 read_request_id(request),
@@ -79,8 +79,8 @@
             LookupQuery(
                 at=self.clock.now(),
                 client=client,
-                service=request.query.get('service'),
-                team=request.query.get('team'),
+                service=query.get('service'),
+                team=query.get('team'),
             )
         )
         return encode_lookup(answer)
@@ -141,6 +141,12 @@
             request.transport.abort()
 
 
+def pack_address(text: str) -> bytes:
+    """Return the 4 or 16 bytes of an address; raise OSError for others."""
+    family = socket.AF_INET6 if ':' in text else socket.AF_INET
+    return socket.inet_pton(family, text)
+
+
 def read_request_id(request: web.Request) -> str:
     """Return the caller's request id where it is usable, else a new one."""
     given = request.headers.get(names.REQUEST_ID_HEADER, '')
