Decide shifts, drains and health, and compare policies in a model

Cause: nothing moved callers, judged targets or checked drains. Change: a policy (abstract; fairness and latency, with nearest and least loaded as baselines) chooses flows; a step towards it stays under the cap and the room of each zone, spaced by callers' caches, and holds when most measurements are missing. Drains are checked before they start. Health weighs reports, their age and own exchanges, damps flapping, ramps. 'currantspur experiment' runs the same decisions on a virtual clock.

--- a/src/currantspur/cli.py
+++ b/src/currantspur/cli.py
@@ -15,6 +15,8 @@
 from currantspur.daemon import Daemon
 from currantspur.demo import run_demo
 from currantspur.errors import CurrantspurError, SettingsError
+from currantspur.model import read_experiment, run_experiment
+from currantspur.model.output import draw_plots, write_csv
 from currantspur.settings import read_configuration, read_daemon_settings
 from currantspur.standins import (
     PlatformStandin,
@@ -56,6 +58,20 @@
     sys.exit(uvloop.run(run_demo()))
 
 
+@app.command
+def experiment(
+    *files: Path, out: Path | None = None, plots: bool = False
+) -> None:
+    """Run experiments of the decision model; write CSV, and plots if asked."""
+    folder = out or Path('out')
+    folder.mkdir(parents=True, exist_ok=True)
+    for file in files:
+        rows = list(run_experiment(read_experiment(file)))
+        write_csv(rows, folder / f'{file.stem}.csv')
+        if plots:
+            draw_plots(rows, folder / f'{file.stem}.png')
+
+
 @standin.command(name='platform')
 def run_platform(*, listen: str) -> None:
     """Run a stand-in of the platform at an IP number and port."""
--- a/src/currantspur/decisions/nearness.py
+++ b/src/currantspur/decisions/nearness.py
@@ -4,10 +4,11 @@
 
 from currantspur.decisions.blocks import BlockTable
 from currantspur.decisions.chunks import cut_blocks
-from currantspur.decisions.spread import Flows, Holders, Spread
+from currantspur.decisions.spread import Holders, Spread
 from currantspur.messages import (
     BlockChange,
     Configuration,
+    Flows,
     Instance,
     LookupAnswer,
 )
--- a/src/currantspur/decisions/spread.py
+++ b/src/currantspur/decisions/spread.py
@@ -2,9 +2,8 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 
-from currantspur.messages import Configuration, Entry, Instance
+from currantspur.messages import Configuration, Entry, Flows, Instance
 
-Flows = Mapping[str, Mapping[str, float]]
 Holders = Mapping[str, float]
 LEAST_WEIGHT = 0.0005
 WEIGHT_DIGITS = 4
--- a/src/currantspur/messages/__init__.py
+++ b/src/currantspur/messages/__init__.py
@@ -28,6 +28,12 @@
     Membership,
     Proof,
 )
+from currantspur.messages.health import (
+    HealthReport,
+    Sighting,
+    Verdict,
+    Verdicts,
+)
 from currantspur.messages.peer import (
     Loan,
     LoanRequest,
@@ -45,6 +51,13 @@
     name_team_limit,
 )
 from currantspur.messages.records import Decision, Evidence, Question
+from currantspur.messages.steering import (
+    Flows,
+    LoadReport,
+    Place,
+    SteeringView,
+    Step,
+)
 from currantspur.messages.traffic import (
     AnswerChunk,
     AnswerHead,
@@ -75,11 +88,14 @@
     'Drain',
     'Entry',
     'Evidence',
+    'Flows',
     'Head',
+    'HealthReport',
     'InForce',
     'Instance',
     'Key',
     'Link',
+    'LoadReport',
     'Loan',
     'LoanRequest',
     'LookupAnswer',
@@ -90,6 +106,7 @@
     'Part',
     'Parts',
     'Passage',
+    'Place',
     'Plan',
     'Prefix',
     'PrefixColumns',
@@ -100,12 +117,17 @@
     'Refusal',
     'Region',
     'Route',
+    'Sighting',
     'Site',
     'SlotRelease',
     'SlotRequest',
     'Steering',
+    'SteeringView',
+    'Step',
     'Target',
     'Team',
+    'Verdict',
+    'Verdicts',
     'fields',
     'name_link_limit',
     'name_region_limit',
