--- /dev/null
+++ b/src/currantspur/cli/__init__.py
@@ -0,0 +1,26 @@
+"""Offer the command line: one module for each group of commands."""
+
+from currantspur.cli import (
+    changes,
+    checking,
+    daemons,
+    drains,
+    experiments,
+    keys,
+    loading,
+    review,
+)
+from currantspur.cli.application import app, main
+
+__all__ = (
+    'app',
+    'changes',
+    'checking',
+    'daemons',
+    'drains',
+    'experiments',
+    'keys',
+    'loading',
+    'main',
+    'review',
+)
--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -1,29 +1,36 @@
 """Assemble the tasks, pipelines and listeners of one entry instance."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterator
 from typing import Any
 
 from loguru import logger
 
+from currantspur.departure import Departure
 from currantspur.errors import PlatformError
-from currantspur.messages import Instance
+from currantspur.messages import Instance, Message
 from currantspur.settings import DaemonSettings
 from currantspur.tasks import (
+    AdministrationTask,
     AdmissionTask,
+    Attempts,
     BlockLoader,
+    ChangeTask,
+    ClaimTask,
     Clock,
+    Control,
+    EqualShares,
     Exchange,
     Journal,
-    Ledger,
-    PlatformLink,
+    Mailbox,
     SteeringTask,
     SystemClock,
     TargetPool,
     Task,
 )
-from currantspur.wire.admin import AdminListener
+from currantspur.wire.admin import AdminListener, AdminServices
 from currantspur.wire.listener import Listener
+from currantspur.wire.peer_grpc import GrpcPeers, PeerServer
 from currantspur.wire.platform_http import PlatformClient, open_platform
 from currantspur.wire.server import open_server
 from currantspur.wire.targets import HttpTargets
@@ -34,17 +41,25 @@
     """Run one entry instance from start to graceful stop."""
 
     __slots__ = (
+        'administration',
         'admission',
         'blocks',
+        'changes',
+        'claims',
         'client',
         'clock',
+        'control',
+        'is_stopped',
         'jobs',
         'journal',
-        'link',
+        'listener',
         'metrics',
+        'peer_server',
+        'peers',
         'pool',
         'runners',
         'settings',
+        'shares',
         'steering',
         'targets',
         'tracer',
@@ -59,58 +74,104 @@
         self.tracer = open_tracer(
             instance=settings.instance, collector=settings.collector
         )
-        self.client = PlatformClient(settings.platform)
+        self.client = PlatformClient(
+            settings.platform, caller=settings.instance
+        )
         self.targets = HttpTargets()
+        self.peers = GrpcPeers()
         self.admission = AdmissionTask(
             clock=self.clock, freshness_s=settings.freshness_s
         )
+        self.journal = Journal()
         self.pool = TargetPool(
-            clock=self.clock, availability_zone=settings.availability_zone
+            clock=self.clock,
+            availability_zone=settings.availability_zone,
+            instance=settings.instance,
+            journal=self.journal.mailbox,
         )
         self.steering = SteeringTask()
-        self.journal = Journal()
+        self.shares = EqualShares(admission=self.admission.mailbox)
+        self.administration = AdministrationTask(
+            clock=self.clock, trusted=settings.operators
+        )
         self.blocks = BlockLoader(
             store=open_platform(self.client).object_store,
             clock=self.clock,
             steering=self.steering.mailbox,
         )
-        self.link = self._open_link()
-        self.jobs: list[asyncio.Task[None]] = []
-        self.runners: list[Any] = []
-
-    async def start(self) -> None:
-        """Listen and start every task; raise ListenError where one cannot."""
-        listener = Listener(
+        self.control = self._open_control()
+        self.claims = ClaimTask(
+            platform=self.control.platform, clock=self.clock
+        )
+        self.changes = ChangeTask(
+            platform=self.control.platform,
+            committer=self.control.committer,
+            trusted=settings.operators,
+        )
+        self.peer_server = PeerServer(self._peer_mailboxes())
+        self.listener = Listener(
             exchange=self._open_exchange(),
             steering=self.steering.mailbox,
             clock=self.clock,
             metrics=self.metrics,
             tracer=self.tracer,
         )
+        self.jobs: list[asyncio.Task[None]] = []
+        self.runners: list[Any] = []
+        self.is_stopped = False
+
+    async def start(self) -> None:
+        """Listen and start every task; raise ListenError where one cannot."""
         admin = AdminListener(
+            services=self._open_services(),
             metrics=self.metrics,
-            journal=self.journal.mailbox,
             is_ready=self.is_ready,
         )
         settings = self.settings
         for application, address in (
-            (listener.application(), settings.listen),
+            (self.listener.application(), settings.listen),
             (admin.application(), settings.admin),
         ):
             self.runners.append(await open_server(application, address))
+        await self.peer_server.start(settings.peer)
         for task in self._tasks():
             self._spawn(task.run())
-        self._spawn(self.link.run())
+        for work in self.control.runs():
+            self._spawn(work)
+        self._spawn(self.changes.run())
         logger.info('{} listens at {}', settings.instance, settings.listen)
 
     def is_ready(self) -> bool:
         """Tell whether a version is in force."""
-        return self.link.head is not None
+        return self.control.follower.head is not None
+
+    async def leave(self, hurried: 'asyncio.Task[None]') -> None:
+        """Leave the answers, wait out caches and requests, and stop."""
+        departure = Departure(
+            control=self.control,
+            listener=self.listener,
+            claims=self.claims.mailbox,
+            clock=self.clock,
+        )
+        leaving = asyncio.create_task(departure.run(self.runners[0]))
+        await asyncio.wait(
+            (leaving, hurried),
+            timeout=self.settings.leave_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if not leaving.done():
+            logger.warning('leaving is cut short')
+            leaving.cancel()
+            self.listener.cut()
+        await self.stop()
 
     async def stop(self) -> None:
-        """Leave the answers, finish what runs, and close."""
+        """Announce leaving, finish what runs, and close, once."""
+        if self.is_stopped:
+            return
+        self.is_stopped = True
         try:
-            await self.link.leave()
+            await self.control.membership_reader.leave()
         except PlatformError as error:
             logger.warning('could not announce leaving: {}', error)
         for runner in self.runners:
@@ -118,23 +179,32 @@
         for job in self.jobs:
             job.cancel()
         await asyncio.gather(*self.jobs, return_exceptions=True)
+        await self._close()
+        logger.info('{} stopped', self.settings.instance)
+
+    async def _close(self) -> None:
+        await self.peer_server.stop()
+        await self.peers.close()
         await self.targets.close()
         await self.client.close()
-        logger.info('{} stopped', self.settings.instance)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self.jobs.append(asyncio.create_task(work))
 
-    def _tasks(self) -> tuple[Task, ...]:
-        return (
-            self.admission,
-            self.pool,
-            self.steering,
-            self.journal,
-            self.blocks,
-        )
+    def _peer_mailboxes(self) -> dict[type[Message], Mailbox]:
+        return self.control.questions()
+
+    def _tasks(self) -> Iterator[Task]:
+        yield self.admission
+        yield self.pool
+        yield self.steering
+        yield self.journal
+        yield self.shares
+        yield self.claims
+        yield self.administration
+        yield self.blocks
 
-    def _open_link(self) -> PlatformLink:
+    def _open_control(self) -> Control:
         settings = self.settings
         instance = Instance(
             name=settings.instance,
@@ -142,22 +212,49 @@
             peer=settings.peer,
             availability_zone=settings.availability_zone,
         )
-        tasks = (self.admission, self.pool, self.steering, self.blocks)
-        return PlatformLink(
+        tasks = (
+            self.admission,
+            self.pool,
+            self.steering,
+            self.blocks,
+            self.shares,
+            self.administration,
+        )
+        return Control(
             platform=open_platform(self.client),
+            peers=self.peers,
             instance=instance,
             clock=self.clock,
             poll_s=settings.poll_s,
+            journal=self.journal.mailbox,
             readers=[task.mailbox for task in tasks],
+            seeds=map(_name_seed, settings.seeds),
+        )
+
+    def _open_services(self) -> AdminServices:
+        return AdminServices(
+            instance=self.control.instance,
+            administration=self.administration.mailbox,
+            changes=self.changes.mailbox,
             journal=self.journal.mailbox,
+            platform=self.control.platform,
+            peers=self.peers,
         )
 
     def _open_exchange(self) -> Exchange:
         return Exchange(
             admission=self.admission.mailbox,
-            pool=self.pool.mailbox,
-            ledger=Ledger(table=self.link.platform.table),
-            targets=self.targets,
-            clock=self.clock,
+            claims=self.claims.mailbox,
+            attempts=Attempts(
+                admission=self.admission.mailbox,
+                pool=self.pool.mailbox,
+                targets=self.targets,
+                clock=self.clock,
+                tracer=self.tracer,
+            ),
             tracer=self.tracer,
         )
+
+
+def _name_seed(peer: str) -> Instance:
+    return Instance(name='', address='', peer=peer, availability_zone='')
--- a/src/currantspur/decisions/health.py
+++ b/src/currantspur/decisions/health.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator
 
 from currantspur.decisions.sightings import Sightings
-from currantspur.messages import HealthReport, Sighting, Verdict
+from currantspur.messages import ExchangeEnd, HealthReport, HealthVerdict
 from currantspur.messages.health import VerdictState
 
 STALE_S = 10.0
@@ -124,13 +124,13 @@
         if health is not None:
             health.accept(report, at)
 
-    def note(self, sighting: Sighting, at: float) -> None:
+    def note(self, sighting: ExchangeEnd, at: float) -> None:
         """Take the end of an exchange."""
         health = self.targets.get(sighting.target)
         if health is not None:
             health.sightings.add(at, succeeded=sighting.succeeded)
 
-    def judge(self, at: float) -> Iterator[Verdict]:
+    def judge(self, at: float) -> Iterator[HealthVerdict]:
         """Yield a verdict for each target."""
         lost = self.has_lost_reports(at)
         for name, health in self.targets.items():
@@ -139,7 +139,7 @@
                 reason = f'most reports are missing: it stays {health.state}'
             else:
                 health.settle(found, at)
-            yield Verdict(
+            yield HealthVerdict(
                 target=name,
                 state=health.state,
                 share=health.share(at),
--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from currantspur.messages.operators import Rejection
     from currantspur.settings.findings import Finding
 
 
@@ -31,6 +32,10 @@
     """Report that the platform gave no answer: a write may have happened."""
 
 
+class OutcomeUnknownError(PlatformAwayError):
+    """Report that a change was sent and its answer is still missing."""
+
+
 class ObjectMissingError(PlatformError):
     """Report that no object has the name asked for."""
 
@@ -43,10 +48,38 @@
         self.author = author
 
 
+class EditError(CurrantspurError):
+    """Report a change that does not fit the newest configuration."""
+
+
+class QuorumError(PlatformError):
+    """Report that no majority of committers acknowledged: nothing written."""
+
+
+class TakenError(EditError):
+    """Report a name that is in use already."""
+
+
+class ForbiddenError(CurrantspurError):
+    """Report an operator who may not do what was asked."""
+
+
+class RejectedError(CurrantspurError):
+    """Carry the reason why an operator's request was not carried out."""
+
+    def __init__(self, rejection: 'Rejection') -> None:
+        super().__init__(rejection.detail)
+        self.rejection = rejection
+
+
 class PeerAwayError(CurrantspurError):
     """Report that a peer gave no answer in time."""
 
 
+class LoadError(CurrantspurError):
+    """Report a load run that may not start."""
+
+
 class MailboxFullError(CurrantspurError):
     """Report that a task has more waiting messages than it may hold."""
 
@@ -58,3 +91,27 @@
         """Take whether a byte of the request may have left."""
         super().__init__(detail)
         self.sent = sent
+
+
+class TargetShedError(TargetError):
+    """Report that a target said that it shed the request unrun."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail, sent=False)
+
+
+class TargetTimeoutError(TargetError):
+    """Report that the time of an exchange with a target ran out."""
+
+
+class BodyCutError(CurrantspurError):
+    """Report that a caller's body ended before its end."""
+
+
+class CallError(CurrantspurError):
+    """Report a request for which a caller got no whole answer."""
+
+    def __init__(self, detail: str, *, sent: bool) -> None:
+        """Take whether the request may have reached an entry."""
+        super().__init__(detail)
+        self.sent = sent
--- a/src/currantspur/messages/configuration.py
+++ b/src/currantspur/messages/configuration.py
@@ -7,6 +7,7 @@
 
 Access = Literal['keyed', 'open']
 Objective = Literal['fairness', 'latency']
+Role = Literal['read', 'drain', 'change']
 
 
 class Route(Message):
@@ -52,6 +53,20 @@
         self.digest = digest
 
 
+class Operator(Message):
+    """Let an operator in by the public id and the digest of a key."""
+
+    __slots__ = ('digest', 'key_id', 'name', 'role')
+
+    def __init__(
+        self, *, name: str, role: Role, key_id: str, digest: str
+    ) -> None:
+        self.name = name
+        self.role = role
+        self.key_id = key_id
+        self.digest = digest
+
+
 class Target(Message):
     """Describe a back end: where it listens and what it can take."""
 
@@ -186,6 +201,7 @@
         'drains',
         'keys',
         'links',
+        'operators',
         'regions',
         'routes',
         'sites',
@@ -206,6 +222,7 @@
         blocks: tuple[Block, ...] = (),
         drains: tuple[Drain, ...] = (),
         sites: tuple[Site, ...] = (),
+        operators: tuple[Operator, ...] = (),
         steering: Steering | None = None,
     ) -> None:
         self.routes = routes
@@ -217,4 +234,5 @@
         self.blocks = blocks
         self.drains = drains
         self.sites = sites
+        self.operators = operators
         self.steering = steering or Steering()
--- a/src/currantspur/messages/health.py
+++ b/src/currantspur/messages/health.py
@@ -29,7 +29,7 @@
         self.running = running
 
 
-class Sighting(Message):
+class ExchangeEnd(Message):
     """Tell how an exchange of this instance with a target ended."""
 
     __slots__ = ('succeeded', 'target')
@@ -39,7 +39,7 @@
         self.succeeded = succeeded
 
 
-class Verdict(Message):
+class HealthVerdict(Message):
     """Judge a target: its state, the share of its slots to use, and why."""
 
     __slots__ = ('reason', 'report_age_s', 'share', 'state', 'target')
@@ -61,10 +61,10 @@
         self.report_age_s = report_age_s
 
 
-class Verdicts(Message):
+class HealthVerdicts(Message):
     """Bring the judged health of all targets to a task."""
 
     __slots__ = ('by_target',)
 
-    def __init__(self, *, by_target: Mapping[str, Verdict]) -> None:
+    def __init__(self, *, by_target: Mapping[str, HealthVerdict]) -> None:
         self.by_target = by_target
--- a/src/currantspur/settings/configuration.py
+++ b/src/currantspur/settings/configuration.py
@@ -9,6 +9,7 @@
 from currantspur.messages import configuration as written
 from currantspur.messages.configuration import Configuration
 from currantspur.settings.document import Cursor, Document
+from currantspur.settings.places import read_block, read_site
 
 DEADLINE_S = 10.0
 SHORTEST_S = 0.001
@@ -17,6 +18,8 @@
 STEP_S = 5.0
 CONNECTIONS = 330
 SMALLEST_SHARE = 0.001
+KEY_ID_DIGITS = 16
+DIGEST_DIGITS = 64
 SCOPES = ('target', 'availability_zone', 'region')
 
 
@@ -33,9 +36,10 @@
         targets=tuple(map(_read_target, root.each('targets'))),
         regions=tuple(map(_read_region, root.each('regions'))),
         links=tuple(map(_read_link, root.each('links'))),
-        blocks=tuple(map(_read_block, root.each('blocks'))),
+        blocks=tuple(map(read_block, root.each('blocks'))),
         drains=tuple(map(_read_drain, root.each('drains'))),
-        sites=tuple(map(_read_site, root.each('sites'))),
+        sites=tuple(map(read_site, root.each('sites'))),
+        operators=tuple(map(read_operator, root.each('operators'))),
         steering=_read_steering(root.child('steering')),
     )
     root.finish()
@@ -58,6 +62,8 @@
         return {
             name: to_plain(member) for name, member in written_fields(message)
         }
+    if isinstance(message, dict):
+        return {name: to_plain(member) for name, member in message.items()}
     if isinstance(message, tuple | list):
         return [to_plain(member) for member in message]
     if isinstance(message, str | int | float | bool):
@@ -107,14 +113,29 @@
 
 def _read_key(cursor: Cursor) -> written.Key:
     key = written.Key(
-        key_id=cursor.text('key_id'),
+        key_id=cursor.hexadecimal('key_id', KEY_ID_DIGITS),
         team=cursor.text('team'),
-        digest=cursor.text('digest'),
+        digest=cursor.hexadecimal('digest', DIGEST_DIGITS),
     )
     cursor.finish()
     return key
 
 
+def read_operator(cursor: Cursor) -> written.Operator:
+    """Read an operator; daemon settings hold the same form."""
+    operator = written.Operator(
+        name=cursor.text('name'),
+        role=cast(
+            'written.Role',
+            cursor.choice('role', get_args(written.Role), 'read'),
+        ),
+        key_id=cursor.hexadecimal('key_id', KEY_ID_DIGITS),
+        digest=cursor.hexadecimal('digest', DIGEST_DIGITS),
+    )
+    cursor.finish()
+    return operator
+
+
 def _read_target(cursor: Cursor) -> written.Target:
     target = written.Target(
         name=cursor.text('name'),
@@ -157,23 +178,6 @@
     return link
 
 
-def _read_block(cursor: Cursor) -> written.Block:
-    block = written.Block(
-        network=cursor.network('network'), site=cursor.text('site')
-    )
-    cursor.finish()
-    return block
-
-
-def _read_site(cursor: Cursor) -> written.Site:
-    site = written.Site(
-        name=cursor.text('name'),
-        availability_zone=cursor.text('availability_zone'),
-    )
-    cursor.finish()
-    return site
-
-
 def _read_drain(cursor: Cursor) -> written.Drain:
     drain = written.Drain(
         drain_id=cursor.text('drain_id'),
@@ -222,6 +226,7 @@
         _check_unique(root, section, 'name')
     for section, name in (
         ('keys', 'key_id'),
+        ('operators', 'key_id'),
         ('routes', 'prefix'),
         ('drains', 'drain_id'),
     ):
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -1,32 +1,48 @@
 """Run tasks that own their state and talk by messages."""
 
+from currantspur.tasks.administration import AdministrationTask
 from currantspur.tasks.admission import AdmissionTask
+from currantspur.tasks.attempts import Attempts, TargetPort
 from currantspur.tasks.blocks import BlockLoader
+from currantspur.tasks.body import BodySource, RequestBody
+from currantspur.tasks.changes import ChangeTask
+from currantspur.tasks.claims import ClaimTask
 from currantspur.tasks.clock import Clock, SystemClock
-from currantspur.tasks.committer import Committer, DirectCommitter
-from currantspur.tasks.exchange import Exchange, TargetPort
+from currantspur.tasks.committer import (
+    Committer,
+    DirectCommitter,
+    QuorumCommitter,
+)
+from currantspur.tasks.control import Control
+from currantspur.tasks.exchange import Exchange
 from currantspur.tasks.journal import Journal
-from currantspur.tasks.ledger import Ledger
 from currantspur.tasks.mailbox import Letter, Mailbox
 from currantspur.tasks.peers import PeerPort
-from currantspur.tasks.platform_link import PlatformLink
+from currantspur.tasks.shares import EqualShares
 from currantspur.tasks.steering import SteeringTask
 from currantspur.tasks.targets import TargetPool
 from currantspur.tasks.task import Task
 
 __all__ = (
+    'AdministrationTask',
     'AdmissionTask',
+    'Attempts',
     'BlockLoader',
+    'BodySource',
+    'ChangeTask',
+    'ClaimTask',
     'Clock',
     'Committer',
+    'Control',
     'DirectCommitter',
+    'EqualShares',
     'Exchange',
     'Journal',
-    'Ledger',
     'Letter',
     'Mailbox',
     'PeerPort',
-    'PlatformLink',
+    'QuorumCommitter',
+    'RequestBody',
     'SteeringTask',
     'SystemClock',
     'TargetPool',
--- a/src/currantspur/wire/listener.py
+++ b/src/currantspur/wire/listener.py
@@ -1,15 +1,22 @@
 """Serve callers over HTTP: look-ups and requests."""
 
+import asyncio
 import socket
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator
+from typing import Any
 from uuid import uuid4
 
 import orjson
-from aiohttp import web
+from aiohttp import ClientError, StreamReader, web
+from aiohttp.typedefs import Handler
 from opentelemetry.propagate import extract, inject
 from opentelemetry.trace import Tracer
 
-from currantspur.errors import MailboxFullError, TargetError
+from currantspur.errors import (
+    BodyCutError,
+    MailboxFullError,
+    TargetError,
+)
 from currantspur.messages import (
     AnswerChunk,
     AnswerHead,
@@ -19,13 +26,18 @@
     Outgoing,
     Refusal,
 )
-from currantspur.tasks import Clock, Exchange, Mailbox
-from currantspur.tasks.exchange import Part
+from currantspur.tasks import (
+    BodySource,
+    Clock,
+    Exchange,
+    Mailbox,
+    RequestBody,
+)
+from currantspur.tasks.attempts import Part
 from currantspur.wire import headers as names
 from currantspur.wire.errors import encode_refusal
 from currantspur.wire.telemetry import Metrics
 
-CHUNK_BYTES = 65_536
 HEADER_LIMIT_BYTES = 16_384
 MS_PER_S = 1000.0
 LOOKUP_PATH = '/-/entries'
@@ -35,7 +47,15 @@
 class Listener:
     """Translate between HTTP and the messages of look-ups and requests."""
 
-    __slots__ = ('clock', 'exchange', 'metrics', 'steering', 'tracer')
+    __slots__ = (
+        'clock',
+        'exchange',
+        'is_leaving',
+        'metrics',
+        'running',
+        'steering',
+        'tracer',
+    )
 
     def __init__(
         self,
@@ -51,10 +71,18 @@
         self.clock = clock
         self.metrics = metrics
         self.tracer = tracer
+        self.is_leaving = False
+        self.running: set[asyncio.Task[Any]] = set()
+
+    def cut(self) -> None:
+        """Cancel every request that still runs."""
+        for task in self.running:
+            task.cancel()
 
     def application(self) -> web.Application:
         """Return the application that serves callers."""
         application = web.Application(
+            middlewares=[self.follow],
             handler_args={
                 'max_line_size': HEADER_LIMIT_BYTES,
                 'max_field_size': HEADER_LIMIT_BYTES,
@@ -64,6 +92,23 @@
         application.router.add_route('*', '/{path:.*}', self.carry)
         return application
 
+    @web.middleware
+    async def follow(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Count a request as running; close its connection when leaving."""
+        task = asyncio.current_task()
+        if task is None:
+            raise AssertionError('a handler runs in a task')
+        self.running.add(task)
+        try:
+            response = await handler(request)
+        finally:
+            self.running.discard(task)
+        if self.is_leaving and not response.prepared:
+            response.force_close()
+        return response
+
     async def look_up(self, request: web.Request) -> web.Response:
         """Answer which entries a client should use."""
         query = request.query
@@ -97,7 +142,8 @@
                 refusal = Refusal(code='bad_request', detail=str(error))
                 return self._refuse(refusal, request_id)
             outgoing = read_outgoing(request, request_id)
-            parts = self.exchange.run(arrival, outgoing, read_body(request))
+            body = RequestBody(HttpBody(request.content))
+            parts = self.exchange.run(arrival, outgoing, body)
             try:
                 return await self._answer(request, request_id, parts)
             finally:
@@ -119,6 +165,8 @@
         if not isinstance(first, AnswerHead):
             raise AssertionError('an answer begins with its head')
         response = open_response(first, request_id)
+        if self.is_leaving:
+            response.force_close()
         await response.prepare(request)
         try:
             async for part in parts:
@@ -191,10 +239,20 @@
     )
 
 
-async def read_body(request: web.Request) -> AsyncIterator[bytes]:
-    """Yield the body as it comes."""
-    async for chunk in request.content.iter_chunked(CHUNK_BYTES):
-        yield chunk
+class HttpBody(BodySource):
+    """Read the body of an HTTP request as it comes."""
+
+    __slots__ = ('content',)
+
+    def __init__(self, content: StreamReader) -> None:
+        self.content = content
+
+    async def read(self) -> bytes:
+        """Return the next piece, empty at the end; raise BodyCutError."""
+        try:
+            return await self.content.readany()
+        except (ClientError, OSError, web.RequestPayloadError) as error:
+            raise BodyCutError(type(error).__name__) from error
 
 
 def open_response(head: AnswerHead, request_id: str) -> web.StreamResponse:
--- a/tests/test_shift.py
+++ b/tests/test_shift.py
@@ -13,10 +13,10 @@
 from currantspur.decisions.shift import Shifter
 from currantspur.messages import (
     Drain,
+    ExchangeEnd,
     HealthReport,
     LoadReport,
     Place,
-    Sighting,
     Steering,
     SteeringView,
 )
@@ -162,7 +162,7 @@
             report = report_of(name, sequence, states.get(name, 'serving'))
             judge.accept(report, at)
         for good in ends if at >= since else ():
-            judge.note(Sighting(target='t1', succeeded=good), at)
+            judge.note(ExchangeEnd(target='t1', succeeded=good), at)
         verdicts = {one.target: one for one in judge.judge(at)}
     assert verdicts['t1'].state == expected
     assert (verdicts['t1'].share > 0) == (expected == 'healthy')
