Step the answers of live instances, judge health, keep decisions

Cause: flows, health and the record existed only as decisions. A task polls health reports of the own zone and gives the pool verdicts. Decisions are flushed in batches to the object store; an outage keeps the youngest 5,000. Explanations in words by zone, target, team, request. Conclusion: demand reports between instances are not carried yet; until then demand is assumed at 0.3 of a zone's intake.

--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -19,8 +19,10 @@
     ClaimTask,
     Clock,
     Control,
+    DecisionWriter,
     EqualShares,
     Exchange,
+    HealthTask,
     Journal,
     Mailbox,
     SteeringTask,
@@ -29,6 +31,7 @@
     Task,
 )
 from currantspur.wire.admin import AdminListener, AdminServices
+from currantspur.wire.health import HttpHealth
 from currantspur.wire.listener import Listener
 from currantspur.wire.peer_grpc import GrpcPeers, PeerServer
 from currantspur.wire.platform_http import PlatformClient, open_platform
@@ -49,6 +52,8 @@
         'client',
         'clock',
         'control',
+        'decisions',
+        'health',
         'is_stopped',
         'jobs',
         'journal',
@@ -82,14 +87,33 @@
         self.admission = AdmissionTask(
             clock=self.clock, freshness_s=settings.freshness_s
         )
-        self.journal = Journal()
+        self.decisions = DecisionWriter(
+            store=open_platform(self.client).object_store,
+            clock=self.clock,
+            instance=settings.instance,
+        )
+        self.journal = Journal(writer=self.decisions.mailbox)
         self.pool = TargetPool(
             clock=self.clock,
             availability_zone=settings.availability_zone,
             instance=settings.instance,
             journal=self.journal.mailbox,
         )
-        self.steering = SteeringTask()
+        self.health = HealthTask(
+            port=HttpHealth(),
+            clock=self.clock,
+            availability_zone=settings.availability_zone,
+            instance=settings.instance,
+            pool=self.pool.mailbox,
+            journal=self.journal.mailbox,
+        )
+        self.pool.health = self.health.mailbox
+        self.steering = SteeringTask(
+            clock=self.clock,
+            journal=self.journal.mailbox,
+            instance=settings.instance,
+            freshness_s=settings.freshness_s,
+        )
         self.shares = EqualShares(admission=self.admission.mailbox)
         self.administration = AdministrationTask(
             clock=self.clock, trusted=settings.operators
@@ -186,6 +210,7 @@
         await self.peer_server.stop()
         await self.peers.close()
         await self.targets.close()
+        await self.health.port.close()
         await self.client.close()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -203,6 +228,8 @@
         yield self.claims
         yield self.administration
         yield self.blocks
+        yield self.decisions
+        yield self.health
 
     def _open_control(self) -> Control:
         settings = self.settings
@@ -217,6 +244,7 @@
             self.pool,
             self.steering,
             self.blocks,
+            self.health,
             self.shares,
             self.administration,
         )
--- a/src/currantspur/decisions/health.py
+++ b/src/currantspur/decisions/health.py
@@ -133,10 +133,13 @@
     def judge(self, at: float) -> Iterator[HealthVerdict]:
         """Yield a verdict for each target."""
         lost = self.has_lost_reports(at)
+        mostly_bad = self.is_mostly_bad(at)
         for name, health in self.targets.items():
             found, reason = health.find(at)
             if lost and health.is_stale(at):
                 reason = f'most reports are missing: it stays {health.state}'
+            elif mostly_bad and found == 'unhealthy':
+                reason = f'most targets look bad at once: {health.state} stays'
             else:
                 health.settle(found, at)
             yield HealthVerdict(
@@ -147,6 +150,11 @@
                 report_age_s=health.age_s(at),
             )
 
+    def is_mostly_bad(self, at: float) -> bool:
+        """Tell whether so many look bad that the fault is likely here."""
+        found = [one.find(at)[0] for one in self.targets.values()]
+        return found.count('unhealthy') > LOST_SHARE * len(found)
+
     def has_lost_reports(self, at: float) -> bool:
         """Tell whether so many reports are old that measuring has failed."""
         stale = [one for one in self.targets.values() if one.is_stale(at)]
--- a/src/currantspur/decisions/slots.py
+++ b/src/currantspur/decisions/slots.py
@@ -1,9 +1,12 @@
 """Choose a target and count the slots in use."""
 
+from collections.abc import Mapping
+
 from currantspur.decisions.drains import is_draining
 from currantspur.decisions.ejection import Ejector
 from currantspur.messages import (
     Configuration,
+    HealthVerdict,
     Part,
     Target,
     Verdict,
@@ -23,6 +26,7 @@
         'checked_at',
         'configuration',
         'ejector',
+        'health',
         'open',
         'parts',
         'running',
@@ -34,6 +38,7 @@
         self.availability_zone = availability_zone
         self.configuration = Configuration()
         self.ejector = Ejector()
+        self.health: Mapping[str, HealthVerdict] = {}
         self.by_service: dict[str, list[Target]] = {}
         self.open: dict[str, list[Target]] = {}
         self.checked_at = float('-inf')
@@ -103,6 +108,9 @@
         """Return the slots that may be used now; a suspect has fewer."""
         slots = self.allotted(target)
         share = self.ejector.share(target.name, at)
+        verdict = self.health.get(target.name)
+        if verdict is not None and verdict.state != 'unknown':
+            share = min(share, verdict.share)
         if share >= 1:
             return slots
         return min(slots, max(1, int(slots * share))) if share else 0
--- a/src/currantspur/decisions/spread.py
+++ b/src/currantspur/decisions/spread.py
@@ -12,12 +12,13 @@
 class Spread:
     """Turn flows between zones into weights of instances."""
 
-    __slots__ = ('flows', 'holders', 'instances', 'regions')
+    __slots__ = ('flows', 'gone', 'holders', 'instances', 'regions')
 
     def __init__(self) -> None:
         self.flows: Flows = {}
         self.holders: dict[str, Holders] = {}
         self.instances: dict[str, list[Instance]] = {}
+        self.gone: dict[str, list[Instance]] = {}
         self.regions: dict[str, str] = {}
 
     def configure(self, configuration: Configuration) -> None:
@@ -30,12 +31,21 @@
 
     def replace(self, instances: Iterable[Instance]) -> None:
         """Take the members; leaving ones get no callers."""
+        before = {**self.gone, **self.instances}
         self.instances = {}
+        listed = set()
         for each in instances:
+            zone = each.availability_zone
+            listed.add(zone)
             if each.state == 'live':
-                self.instances.setdefault(each.availability_zone, []).append(
-                    each,
-                )
+                self.instances.setdefault(zone, []).append(each)
+        self.gone = {
+            zone: known for zone, known in before.items() if zone not in listed
+        }
+
+    def known(self, zone: str) -> list[Instance]:
+        """Return a zone's instances, or its last ones if all vanished."""
+        return self.instances.get(zone) or self.gone.get(zone, [])
 
     def choose(self, origin: str | None, team: str | None) -> tuple[Entry, ...]:
         """Return weighted entries for callers of a zone."""
@@ -46,8 +56,8 @@
                 weights[name] = weights.get(name, 0.0) + part
         return tuple(
             _describe(each, weights[each.name])
-            for zone in sorted(self.instances)
-            for each in self.instances[zone]
+            for zone in sorted(self.instances.keys() | self.gone.keys())
+            for each in self.known(zone)
             if weights.get(each.name, 0.0) >= LEAST_WEIGHT
         )
 
@@ -57,7 +67,7 @@
         shares = {
             zone: share
             for zone, share in flow.items()
-            if share > 0 and zone in self.instances
+            if share > 0 and self.known(zone)
         }
         total = sum(shares.values())
         if total <= 0:
@@ -87,19 +97,17 @@
         parts = {
             each.name: holders[each.name]
             for one in near
-            for each in self.instances.get(one, ())
+            for each in self.known(one)
             if holders.get(each.name, 0.0) > 0
         }
         if not parts:
-            parts = {each.name: 1.0 for each in self.instances[zone]}
+            parts = {each.name: 1.0 for each in self.known(zone)}
         total = sum(parts.values())
         for name, part in parts.items():
             yield name, share * part / total
 
     def _hold_any(self, zone: str, holders: Holders) -> bool:
-        return any(
-            holders.get(each.name, 0.0) > 0 for each in self.instances[zone]
-        )
+        return any(holders.get(each.name, 0.0) > 0 for each in self.known(zone))
 
     def _region(self, region: str | None) -> list[str]:
         return [zone for zone, name in self.regions.items() if name == region]
--- a/src/currantspur/messages/records.py
+++ b/src/currantspur/messages/records.py
@@ -1,5 +1,7 @@
 """Define the record of an automatic decision."""
 
+import math
+
 from currantspur.messages.base import Message
 
 
@@ -66,7 +68,14 @@
 class Question(Message):
     """Ask for the decisions about a subject, team or request; None: any."""
 
-    __slots__ = ('limit', 'request_id', 'since_s', 'subject', 'team')
+    __slots__ = (
+        'limit',
+        'request_id',
+        'since_s',
+        'subject',
+        'team',
+        'until_s',
+    )
 
     def __init__(
         self,
@@ -75,11 +84,13 @@
         team: str | None = None,
         request_id: str | None = None,
         since_s: float = 0.0,
+        until_s: float = math.inf,
         limit: int = 100,
     ) -> None:
-        """Take the earliest time as Unix seconds."""
+        """Take the earliest and latest time as Unix seconds."""
         self.subject = subject
         self.team = team
         self.request_id = request_id
         self.since_s = since_s
+        self.until_s = until_s
         self.limit = limit
--- a/src/currantspur/standins/target.py
+++ b/src/currantspur/standins/target.py
@@ -7,6 +7,7 @@
 import orjson
 from aiohttp import web
 
+from currantspur.standins.health import HealthStandin
 from currantspur.standins.target_faults import FAULTS
 
 BODY_LIMIT_BYTES = 67_108_864
@@ -22,6 +23,7 @@
         'delay_s',
         'fault',
         'headers_seen',
+        'health',
         'most_running',
         'name',
         'running',
@@ -38,6 +40,7 @@
     ) -> None:
         """Take how much longer the first runs take."""
         self.name = name
+        self.health = HealthStandin(name=name)
         self.delay_s = delay_s
         self.cold_s = cold_s
         self.cold_until_runs = cold_until_runs
@@ -51,6 +54,7 @@
         """Return the application that serves as the target."""
         application = web.Application(client_max_size=BODY_LIMIT_BYTES)
         application.router.add_get('/-/runs', self.list_runs)
+        self.health.add_routes(application)
         application.router.add_route('*', '/{path:.*}', self.receive)
         return application
 
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -14,7 +14,9 @@
     QuorumCommitter,
 )
 from currantspur.tasks.control import Control
+from currantspur.tasks.decisions import DecisionWriter
 from currantspur.tasks.exchange import Exchange
+from currantspur.tasks.health import HealthPort, HealthTask
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.mailbox import Letter, Mailbox
 from currantspur.tasks.peers import PeerPort
@@ -34,9 +36,12 @@
     'Clock',
     'Committer',
     'Control',
+    'DecisionWriter',
     'DirectCommitter',
     'EqualShares',
     'Exchange',
+    'HealthPort',
+    'HealthTask',
     'Journal',
     'Letter',
     'Mailbox',
--- a/src/currantspur/tasks/journal.py
+++ b/src/currantspur/tasks/journal.py
@@ -1,10 +1,12 @@
 """Own the record of automatic decisions."""
 
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
+from currantspur.decisions.explanation import select
+from currantspur.errors import MailboxFullError
 from currantspur.messages import Decision, Question
-from currantspur.tasks.mailbox import Letter
+from currantspur.tasks.mailbox import Letter, Mailbox
 from currantspur.tasks.task import Task
 
 KEPT_DECISIONS = 5_000
@@ -13,11 +15,13 @@
 class Journal(Task):
     """Keep the latest decisions and answer questions about them."""
 
-    __slots__ = ('decisions',)
+    __slots__ = ('decisions', 'unwritten', 'writer')
 
-    def __init__(self) -> None:
+    def __init__(self, *, writer: Mailbox | None = None) -> None:
         super().__init__()
         self.decisions: deque[Decision] = deque(maxlen=KEPT_DECISIONS)
+        self.writer = writer
+        self.unwritten = 0
 
     def receive(self, letters: Iterable[Letter]) -> None:
         """Note decisions and answer questions in the order they came."""
@@ -25,22 +29,15 @@
             message = letter.message
             if isinstance(message, Decision):
                 self.decisions.append(message)
+                self._pass_on(message)
             elif isinstance(message, Question):
                 matched = list(select(self.decisions, message))
                 letter.answer(matched[-message.limit :])
 
-
-def select(
-    decisions: Iterable[Decision], question: Question
-) -> Iterator[Decision]:
-    """Yield the decisions that a question asks for."""
-    for decision in decisions:
-        wanted = (
-            (question.subject, decision.subject),
-            (question.team, decision.team),
-            (question.request_id, decision.request_id),
-        )
-        if decision.at_s >= question.since_s and all(
-            asked in {None, found} for asked, found in wanted
-        ):
-            yield decision
+    def _pass_on(self, decision: Decision) -> None:
+        if self.writer is None:
+            return
+        try:
+            self.writer.post(decision)
+        except MailboxFullError:
+            self.unwritten += 1
--- a/src/currantspur/tasks/targets.py
+++ b/src/currantspur/tasks/targets.py
@@ -12,7 +12,9 @@
     Configuration,
     Decision,
     Evidence,
+    ExchangeEnd,
     Expiry,
+    HealthVerdicts,
     InForce,
     Message,
     Parts,
@@ -29,6 +31,7 @@
 PACE_GAIN = 0.1
 SHORTEST_ALARM_S = 0.001
 RETURN_CHECK_S = 0.25
+CLEAR_ENDS = frozenset(('succeeded', 'failed'))
 
 
 class TargetPool(Task):
@@ -39,6 +42,7 @@
         'alarm_at',
         'budget',
         'clock',
+        'health',
         'instance',
         'journal',
         'paces',
@@ -58,6 +62,7 @@
         super().__init__()
         self.clock = clock
         self.instance = instance
+        self.health: Mailbox | None = None
         self.journal = journal
         self.table = SlotTable(availability_zone=availability_zone)
         self.budget = RetryBudget()
@@ -90,6 +95,8 @@
             self._apply(message.configuration)
         elif isinstance(message, Parts):
             self.table.allot(message.by_limit)
+        elif isinstance(message, HealthVerdicts):
+            self.table.health = message.by_target
         elif isinstance(message, Expiry):
             self.alarm_at = float('inf')
             self._expire()
@@ -187,6 +194,10 @@
     def _release(self, release: SlotRelease) -> None:
         now = self.clock.now()
         target = release.assignment.target
+        if self.health is not None and release.verdict in CLEAR_ENDS:
+            is_good = release.verdict == 'succeeded'
+            end = ExchangeEnd(target=target.name, succeeded=is_good)
+            self.health.post(end)
         if release.verdict == 'succeeded':
             held_s = now - release.assignment.taken_at
             pace_s = self.paces.get(target.service, held_s)
