--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -54,7 +54,6 @@
         'control',
         'decisions',
         'health',
-        'is_stopped',
         'jobs',
         'journal',
         'listener',
@@ -125,7 +124,7 @@
         )
         self.control = self._open_control()
         self.claims = ClaimTask(
-            platform=self.control.platform, clock=self.clock
+            platform=self.control.count('claims'), clock=self.clock
         )
         self.changes = ChangeTask(
             platform=self.control.platform,
@@ -142,7 +141,6 @@
         )
         self.jobs: list[asyncio.Task[None]] = []
         self.runners: list[Any] = []
-        self.is_stopped = False
 
     async def start(self) -> None:
         """Listen and start every task; raise ListenError where one cannot."""
@@ -172,7 +170,8 @@
     async def leave(self, hurried: 'asyncio.Task[None]') -> None:
         """Leave the answers, wait out caches and requests, and stop."""
         departure = Departure(
-            control=self.control,
+            reader=self.control.membership_reader,
+            steering=self.steering.mailbox,
             listener=self.listener,
             claims=self.claims.mailbox,
             clock=self.clock,
@@ -191,15 +190,14 @@
 
     async def stop(self) -> None:
         """Announce leaving, finish what runs, and close, once."""
-        if self.is_stopped:
+        if not self.runners:
             return
-        self.is_stopped = True
         try:
             await self.control.membership_reader.leave()
         except PlatformError as error:
             logger.warning('could not announce leaving: {}', error)
-        for runner in self.runners:
-            await runner.cleanup()
+        while self.runners:
+            await self.runners.pop(0).cleanup()
         for job in self.jobs:
             job.cancel()
         await asyncio.gather(*self.jobs, return_exceptions=True)
@@ -257,6 +255,7 @@
             journal=self.journal.mailbox,
             readers=[task.mailbox for task in tasks],
             seeds=map(_name_seed, settings.seeds),
+            counter=self.metrics.platform_calls,
         )
 
     def _open_services(self) -> AdminServices:
--- a/src/currantspur/messages/__init__.py
+++ b/src/currantspur/messages/__init__.py
@@ -98,7 +98,6 @@
     Refusal,
     SlotRelease,
     SlotRequest,
-    Verdict,
 )
 
 __all__ = (
@@ -176,7 +175,6 @@
     'StoredAnswer',
     'Target',
     'Team',
-    'Verdict',
     'VersionNotice',
     'WitnessQuery',
     'WitnessState',
