--- a/src/currantspur/settings/configuration.py
+++ b/src/currantspur/settings/configuration.py
@@ -9,6 +9,7 @@
 from currantspur.messages import configuration as written
 from currantspur.messages.configuration import Configuration
 from currantspur.settings.document import Cursor, Document
+from currantspur.settings.places import read_block, read_site
 
 DEADLINE_S = 10.0
 SHORTEST_S = 0.001
@@ -35,8 +36,9 @@
         targets=tuple(map(_read_target, root.each('targets'))),
         regions=tuple(map(_read_region, root.each('regions'))),
         links=tuple(map(_read_link, root.each('links'))),
-        blocks=tuple(map(_read_block, root.each('blocks'))),
+        blocks=tuple(map(read_block, root.each('blocks'))),
         drains=tuple(map(_read_drain, root.each('drains'))),
+        sites=tuple(map(read_site, root.each('sites'))),
         operators=tuple(map(read_operator, root.each('operators'))),
         steering=_read_steering(root.child('steering')),
     )
@@ -176,14 +178,6 @@
     return link
 
 
-def _read_block(cursor: Cursor) -> written.Block:
-    block = written.Block(
-        network=cursor.network('network'), site=cursor.text('site')
-    )
-    cursor.finish()
-    return block
-
-
 def _read_drain(cursor: Cursor) -> written.Drain:
     drain = written.Drain(
         drain_id=cursor.text('drain_id'),
@@ -225,13 +219,14 @@
     _check_names(root, 'keys', 'team', teams)
     _check_names(root, 'links', 'origin', regions)
     _check_names(root, 'links', 'destination', regions)
-    _check_names(root, 'blocks', 'site', zones)
+    sites = {site.name for site in configuration.sites}
+    _check_names(root, 'sites', 'availability_zone', zones)
+    _check_names(root, 'blocks', 'site', zones | sites)
+    for section in ('teams', 'targets', 'regions', 'sites'):
+        _check_unique(root, section, 'name')
     for section, name in (
-        ('teams', 'name'),
         ('keys', 'key_id'),
         ('operators', 'key_id'),
-        ('targets', 'name'),
-        ('regions', 'name'),
         ('routes', 'prefix'),
         ('drains', 'drain_id'),
     ):
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -3,6 +3,7 @@
 from currantspur.tasks.administration import AdministrationTask
 from currantspur.tasks.admission import AdmissionTask
 from currantspur.tasks.attempts import Attempts, TargetPort
+from currantspur.tasks.blocks import BlockLoader
 from currantspur.tasks.body import BodySource, RequestBody
 from currantspur.tasks.changes import ChangeTask
 from currantspur.tasks.claims import ClaimTask
@@ -13,7 +14,9 @@
     QuorumCommitter,
 )
 from currantspur.tasks.control import Control
+from currantspur.tasks.decisions import DecisionWriter
 from currantspur.tasks.exchange import Exchange
+from currantspur.tasks.health import HealthPort, HealthTask
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.mailbox import Letter, Mailbox
 from currantspur.tasks.peers import PeerPort
@@ -26,15 +29,19 @@
     'AdministrationTask',
     'AdmissionTask',
     'Attempts',
+    'BlockLoader',
     'BodySource',
     'ChangeTask',
     'ClaimTask',
     'Clock',
     'Committer',
     'Control',
+    'DecisionWriter',
     'DirectCommitter',
     'EqualShares',
     'Exchange',
+    'HealthPort',
+    'HealthTask',
     'Journal',
     'Letter',
     'Mailbox',
