--- a/src/currantspur/decisions/slots.py
+++ b/src/currantspur/decisions/slots.py
@@ -12,6 +12,7 @@
 
 DRAIN_CHECK_S = 0.25
 SLOTS_PREFIX = name_slots_limit('')
+Tiers = tuple[list[Target], list[Target]]
 
 
 class SlotTable:
@@ -35,7 +36,8 @@
         self.configuration = Configuration()
         self.ejector = Ejector()
         self.by_service: dict[str, list[Target]] = {}
-        self.open: dict[str, list[Target]] = {}
+        # Targets that take work: of the own availability zone, and others.
+        self.open: dict[str, Tiers] = {}
         self.checked_at = float('-inf')
         self.parts: dict[str, int] | None = None
         self.running: dict[str, int] = {}
@@ -65,19 +67,16 @@
     ) -> Target | None:
         """Take a slot of the least used target, own availability zone first."""
         self._check_drains(unix_s)
-        free = [
-            target
-            for target in self.open.get(service, ())
-            if target.name not in without
-            and self.count(target) < self.usable(target, at)
-        ]
-        if not free:
-            return None
-        chosen = min(free, key=self._rank)
-        self.turn += 1
-        self.turns[chosen.name] = self.turn
-        self.running[chosen.name] = self.count(chosen) + 1
-        return chosen
+        for tier in self.open.get(service, ()):
+            free = [
+                target
+                for target in tier
+                if target.name not in without
+                and self.count(target) < self.usable(target, at)
+            ]
+            if free:
+                return self._choose(free)
+        return None
 
     def give_back(self, target: Target, verdict: Verdict, at: float) -> bool:
         """Free a slot; tell whether the target was taken out for it."""
@@ -86,7 +85,10 @@
             self.running[target.name] = left
         else:
             self.running.pop(target.name, None)
-        fellows = [one.name for one in self.by_service.get(target.service, ())]
+        fellows = []
+        if verdict == 'failed':
+            known = self.by_service.get(target.service, ())
+            fellows = [one.name for one in known]
         return self.ejector.note(target.name, verdict, fellows=fellows, at=at)
 
     def count(self, target: Target) -> int:
@@ -109,23 +111,36 @@
 
     def capacity(self, service: str, at: float) -> int:
         """Return the slots of a service that may be used now."""
-        targets = self.open.get(service, ())
-        return sum(self.usable(target, at) for target in targets)
+        return sum(
+            self.usable(target, at)
+            for tier in self.open.get(service, ())
+            for target in tier
+        )
 
     def _check_drains(self, unix_s: float) -> None:
         if abs(unix_s - self.checked_at) < DRAIN_CHECK_S:
             return
         self.checked_at = unix_s
         self.open = {
-            service: [
-                target
-                for target in targets
-                if not is_draining(self.configuration, target, unix_s)
-            ]
+            service: self._split(targets, unix_s)
             for service, targets in self.by_service.items()
         }
 
-    def _rank(self, target: Target) -> tuple[bool, float, int]:
-        is_far = target.availability_zone != self.availability_zone
+    def _split(self, targets: list[Target], unix_s: float) -> Tiers:
+        tiers: Tiers = ([], [])
+        for target in targets:
+            if not is_draining(self.configuration, target, unix_s):
+                is_far = target.availability_zone != self.availability_zone
+                tiers[is_far].append(target)
+        return tiers
+
+    def _choose(self, free: list[Target]) -> Target:
+        chosen = min(free, key=self._rank)
+        self.turn += 1
+        self.turns[chosen.name] = self.turn
+        self.running[chosen.name] = self.count(chosen) + 1
+        return chosen
+
+    def _rank(self, target: Target) -> tuple[float, int]:
         used = self.count(target) / target.slots
-        return is_far, used, self.turns.get(target.name, 0)
+        return used, self.turns.get(target.name, 0)
