Encrypt connections of callers and between instances

Instances show certificates of one authority to each other. Without these settings connections stay plain.

--- a/src/currantspur/client/caller.py
+++ b/src/currantspur/client/caller.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from random import Random
+from ssl import SSLContext
 from types import TracebackType
 from typing import Any, Self
 
@@ -62,6 +63,7 @@
         'clock',
         'key',
         'random',
+        'scheme',
         'session',
     )
 
@@ -72,6 +74,7 @@
         key: str | None = None,
         clock: Clock | None = None,
         random: Random | None = None,
+        tls: SSLContext | None = None,
     ) -> None:
         """Take addresses of any entries to ask first, and the team's key."""
         self.bootstrap = tuple(bootstrap)
@@ -80,7 +83,10 @@
         self.random = random or Random()
         self.cache = EntryCache(self.random)
         self.budget = RetryBudget()
-        self.session = aiohttp.ClientSession()
+        self.scheme = 'https' if tls else 'http'
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(ssl=tls or True),
+        )
 
     async def __aenter__(self) -> Self:
         """Return this caller."""
@@ -179,7 +185,7 @@
         try:
             async with self.session.request(
                 request.method,
-                f'http://{entry}{path}',
+                f'{self.scheme}://{entry}{path}',
                 headers=request.headers | headers,
                 data=request.body,
                 timeout=aiohttp.ClientTimeout(total=left_s),
@@ -215,7 +221,7 @@
 
     async def _ask(self, address: str) -> dict[str, Any] | None:
         timeout = aiohttp.ClientTimeout(total=LOOKUP_S)
-        url = f'http://{address}/-/entries'
+        url = f'{self.scheme}://{address}/-/entries'
         try:
             async with self.session.get(url, timeout=timeout) as response:
                 plain: dict[str, Any] = orjson.loads(await response.read())
--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -2,8 +2,10 @@
 
 import asyncio
 from collections.abc import Coroutine, Iterator
+from ssl import SSLContext
 from typing import Any
 
+import grpc
 from loguru import logger
 
 from currantspur.departure import Departure
@@ -34,6 +36,7 @@
 from currantspur.wire.server import open_server
 from currantspur.wire.targets import HttpTargets
 from currantspur.wire.telemetry import Metrics, open_tracer
+from currantspur.wire.tls import CallerTls, PeerTls
 
 
 class Daemon:
@@ -75,7 +78,10 @@
             settings.platform, caller=settings.instance
         )
         self.targets = HttpTargets()
-        self.peers = GrpcPeers()
+        peer_tls = settings.peer_tls
+        self.peers = GrpcPeers(
+            PeerTls(peer_tls).open_channel if peer_tls else None
+        )
         self.admission = AdmissionTask(
             clock=self.clock, freshness_s=settings.freshness_s
         )
@@ -119,12 +125,18 @@
             is_ready=self.is_ready,
         )
         settings = self.settings
-        for application, address in (
-            (self.listener.application(), settings.listen),
-            (admin.application(), settings.admin),
+        for application, address, context in (
+            (
+                self.listener.application(),
+                settings.listen,
+                self._open_caller_tls(),
+            ),
+            (admin.application(), settings.admin, None),
         ):
-            self.runners.append(await open_server(application, address))
-        await self.peer_server.start(settings.peer)
+            self.runners.append(
+                await open_server(application, address, context)
+            )
+        await self.peer_server.start(settings.peer, self._open_peer_tls())
         for task in self._tasks():
             self._spawn(task.run())
         for work in self.control.runs():
@@ -182,6 +194,21 @@
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self.jobs.append(asyncio.create_task(work))
 
+    def _open_caller_tls(self) -> SSLContext | None:
+        if self.settings.tls is None:
+            return None
+        tls = CallerTls(self.settings.tls)
+        self._spawn(tls.watch(self.clock))
+        return tls.context
+
+    def _open_peer_tls(self) -> grpc.ServerCredentials | None:
+        if self.settings.peer_tls is None:
+            return None
+        tls = PeerTls(self.settings.peer_tls)
+        credentials = tls.open_server()
+        self._spawn(tls.watch(self.clock, self.peers.close))
+        return credentials
+
     def _peer_mailboxes(self) -> dict[type[Message], Mailbox]:
         return self.control.questions()
 
--- a/src/currantspur/settings/__init__.py
+++ b/src/currantspur/settings/__init__.py
@@ -12,10 +12,12 @@
 )
 from currantspur.settings.document import is_address, split_address
 from currantspur.settings.findings import Finding
+from currantspur.settings.tls import TlsFiles
 
 __all__ = (
     'DaemonSettings',
     'Finding',
+    'TlsFiles',
     'is_address',
     'is_daemon_settings',
     'print_configuration',
--- a/src/currantspur/settings/daemon.py
+++ b/src/currantspur/settings/daemon.py
@@ -4,6 +4,11 @@
 from currantspur.messages.base import Message
 from currantspur.settings.configuration import read_operator
 from currantspur.settings.document import Cursor, Document
+from currantspur.settings.tls import (
+    TlsFiles,
+    read_caller_tls,
+    read_peer_tls,
+)
 
 FRESHNESS_S = 1.5
 POLL_S = 0.4
@@ -26,9 +31,11 @@
         'listen',
         'operators',
         'peer',
+        'peer_tls',
         'platform',
         'poll_s',
         'seeds',
+        'tls',
     )
 
     def __init__(
@@ -46,6 +53,8 @@
         leave_s: float = LEAVE_S,
         operators: tuple[Operator, ...] = (),
         seeds: tuple[str, ...] = (),
+        tls: TlsFiles | None = None,
+        peer_tls: TlsFiles | None = None,
     ) -> None:
         """Take addresses as IP numbers with ports and times in seconds."""
         self.instance = instance
@@ -60,6 +69,8 @@
         self.leave_s = leave_s
         self.operators = operators
         self.seeds = seeds
+        self.tls = tls
+        self.peer_tls = peer_tls
 
 
 def read_daemon_settings(text: str, *, file: str) -> DaemonSettings:
@@ -81,6 +92,8 @@
         leave_s=root.number('leave_s', LEAVE_S, high=LONGEST_S),
         operators=tuple(map(read_operator, root.each('operators'))),
         seeds=tuple(seed.address('peer') for seed in root.each('seeds')),
+        tls=read_caller_tls(root),
+        peer_tls=read_peer_tls(root),
     )
     root.finish()
     document.close()
--- a/src/currantspur/wire/server.py
+++ b/src/currantspur/wire/server.py
@@ -1,6 +1,7 @@
 """Bind applications to addresses."""
 
 import logging
+from ssl import SSLContext
 
 from aiohttp import web
 from aiohttp.http import HttpProcessingError
@@ -31,7 +32,9 @@
 
 
 async def open_server(
-    application: web.Application, address: str
+    application: web.Application,
+    address: str,
+    ssl_context: SSLContext | None = None,
 ) -> web.AppRunner:
     """Serve at an IP number and port; raise ListenError if it is in use."""
     runner = web.AppRunner(
@@ -44,7 +47,7 @@
     await runner.setup()
     host, port = split_address(address)
     try:
-        await web.TCPSite(runner, host, port).start()
+        await web.TCPSite(runner, host, port, ssl_context=ssl_context).start()
     except OSError as error:
         await runner.cleanup()
         raise ListenError(f'{address}: {error.strerror}') from error
