Show that a registration reads the head; let leaving keep its own retry time

Cause: a registration that forgot the head was not found by the tests; leaving read an attribute that control no longer holds. Change: the test registers with no other task running.

--- a/src/currantspur/departure.py
+++ b/src/currantspur/departure.py
@@ -14,6 +14,7 @@
 MARGIN_S = 0.5
 STEP_S = 0.05
 QUIET_STEPS = 3
+RETRY_S = 0.4
 
 
 class Departure:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -197,18 +197,19 @@
     assert set(versions.values()) == {2}
 
 
-async def register_behind():
+async def register_alone():
     fleet = await open_fleet()
     control = fleet.nodes['entry-2'].control
+    fleet.close()
     control.relay.witness.newest = 0
+    answering = asyncio.create_task(control.relay.run())
     await control.registrar.register()
-    witness = control.relay.witness
-    fleet.close()
-    return witness
+    answering.cancel()
+    return control.relay.witness
 
 
 def test_registration_reads_the_head():
-    assert run_virtual(register_behind()).newest == 1
+    assert run_virtual(register_alone()).newest == 1
 
 
 async def leave_write_open():
