--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -2,8 +2,10 @@
 
 import asyncio
 from collections.abc import Coroutine, Iterator
+from ssl import SSLContext
 from typing import Any
 
+import grpc
 from loguru import logger
 
 from currantspur.departure import Departure
@@ -14,12 +16,15 @@
     AdministrationTask,
     AdmissionTask,
     Attempts,
+    BlockLoader,
     ChangeTask,
     ClaimTask,
     Clock,
     Control,
+    DecisionWriter,
     EqualShares,
     Exchange,
+    HealthTask,
     Journal,
     Mailbox,
     SteeringTask,
@@ -28,12 +33,14 @@
     Task,
 )
 from currantspur.wire.admin import AdminListener, AdminServices
+from currantspur.wire.health import HttpHealth
 from currantspur.wire.listener import Listener
 from currantspur.wire.peer_grpc import GrpcPeers, PeerServer
 from currantspur.wire.platform_http import PlatformClient, open_platform
 from currantspur.wire.server import open_server
 from currantspur.wire.targets import HttpTargets
 from currantspur.wire.telemetry import Metrics, open_tracer
+from currantspur.wire.tls import CallerTls, PeerTls
 
 
 class Daemon:
@@ -42,11 +49,14 @@
     __slots__ = (
         'administration',
         'admission',
+        'blocks',
         'changes',
         'claims',
         'client',
         'clock',
         'control',
+        'decisions',
+        'health',
         'jobs',
         'journal',
         'listener',
@@ -75,22 +85,49 @@
             settings.platform, caller=settings.instance
         )
         self.targets = HttpTargets()
-        self.peers = GrpcPeers()
+        peer_tls = settings.peer_tls
+        self.peers = GrpcPeers(
+            PeerTls(peer_tls).open_channel if peer_tls else None
+        )
         self.admission = AdmissionTask(
             clock=self.clock, freshness_s=settings.freshness_s
         )
-        self.journal = Journal()
+        self.decisions = DecisionWriter(
+            store=open_platform(self.client).object_store,
+            clock=self.clock,
+            instance=settings.instance,
+        )
+        self.journal = Journal(writer=self.decisions.mailbox)
         self.pool = TargetPool(
             clock=self.clock,
             availability_zone=settings.availability_zone,
             instance=settings.instance,
             journal=self.journal.mailbox,
         )
-        self.steering = SteeringTask()
+        self.health = HealthTask(
+            port=HttpHealth(),
+            clock=self.clock,
+            availability_zone=settings.availability_zone,
+            instance=settings.instance,
+            pool=self.pool.mailbox,
+            journal=self.journal.mailbox,
+        )
+        self.pool.health = self.health.mailbox
+        self.steering = SteeringTask(
+            clock=self.clock,
+            journal=self.journal.mailbox,
+            instance=settings.instance,
+            freshness_s=settings.freshness_s,
+        )
         self.shares = EqualShares(admission=self.admission.mailbox)
         self.administration = AdministrationTask(
             clock=self.clock, trusted=settings.operators
         )
+        self.blocks = BlockLoader(
+            store=open_platform(self.client).object_store,
+            clock=self.clock,
+            steering=self.steering.mailbox,
+        )
         self.control = self._open_control()
         self.claims = ClaimTask(
             platform=self.control.count('claims'), clock=self.clock
@@ -119,12 +156,18 @@
             is_ready=self.is_ready,
         )
         settings = self.settings
-        for application, address in (
-            (self.listener.application(), settings.listen),
-            (admin.application(), settings.admin),
+        for application, address, context in (
+            (
+                self.listener.application(),
+                settings.listen,
+                self._open_caller_tls(),
+            ),
+            (admin.application(), settings.admin, None),
         ):
-            self.runners.append(await open_server(application, address))
-        await self.peer_server.start(settings.peer)
+            self.runners.append(
+                await open_server(application, address, context)
+            )
+        await self.peer_server.start(settings.peer, self._open_peer_tls())
         for task in self._tasks():
             self._spawn(task.run())
         for work in self.control.runs():
@@ -177,11 +220,27 @@
         await self.peer_server.stop()
         await self.peers.close()
         await self.targets.close()
+        await self.health.port.close()
         await self.client.close()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self.jobs.append(asyncio.create_task(work))
 
+    def _open_caller_tls(self) -> SSLContext | None:
+        if self.settings.tls is None:
+            return None
+        tls = CallerTls(self.settings.tls)
+        self._spawn(tls.watch(self.clock))
+        return tls.context
+
+    def _open_peer_tls(self) -> grpc.ServerCredentials | None:
+        if self.settings.peer_tls is None:
+            return None
+        tls = PeerTls(self.settings.peer_tls)
+        credentials = tls.open_server()
+        self._spawn(tls.watch(self.clock, self.peers.close))
+        return credentials
+
     def _peer_mailboxes(self) -> dict[type[Message], Mailbox]:
         return self.control.questions()
 
@@ -193,6 +252,9 @@
         yield self.shares
         yield self.claims
         yield self.administration
+        yield self.blocks
+        yield self.decisions
+        yield self.health
 
     def _open_control(self) -> Control:
         settings = self.settings
@@ -206,6 +268,8 @@
             self.admission,
             self.pool,
             self.steering,
+            self.blocks,
+            self.health,
             self.shares,
             self.administration,
         )
--- a/src/currantspur/messages/__init__.py
+++ b/src/currantspur/messages/__init__.py
@@ -1,6 +1,12 @@
 """Re-export the messages that tasks, filters and front ends pass."""
 
 from currantspur.messages.base import Message, fields
+from currantspur.messages.blocks import (
+    BlockChange,
+    BlockChunk,
+    Prefix,
+    PrefixColumns,
+)
 from currantspur.messages.claims import (
     Claim,
     ClaimFlush,
@@ -18,6 +24,7 @@
     Region,
     Role,
     Route,
+    Site,
     Steering,
     Target,
     Team,
@@ -36,6 +43,12 @@
     WitnessQuery,
     WitnessState,
 )
+from currantspur.messages.health import (
+    ExchangeEnd,
+    HealthReport,
+    HealthVerdict,
+    HealthVerdicts,
+)
 from currantspur.messages.peer import (
     HeadAnswer,
     HeadRequest,
@@ -63,6 +76,13 @@
     name_team_limit,
 )
 from currantspur.messages.records import Decision, Evidence, Question
+from currantspur.messages.steering import (
+    Flows,
+    LoadReport,
+    Place,
+    SteeringView,
+    Step,
+)
 from currantspur.messages.traffic import (
     AnswerChunk,
     AnswerHead,
@@ -87,6 +107,8 @@
     'Arrival',
     'Assignment',
     'Block',
+    'BlockChange',
+    'BlockChunk',
     'Change',
     'Claim',
     'ClaimFlush',
@@ -98,15 +120,21 @@
     'Drain',
     'Entry',
     'Evidence',
+    'ExchangeEnd',
     'Expiry',
+    'Flows',
     'Head',
     'HeadAnswer',
     'HeadRequest',
+    'HealthReport',
+    'HealthVerdict',
+    'HealthVerdicts',
     'InForce',
     'Instance',
     'Key',
     'Link',
     'Listed',
+    'LoadReport',
     'Loan',
     'LoanRequest',
     'LookupAnswer',
@@ -123,7 +151,10 @@
     'Parts',
     'Passage',
     'PeerSight',
+    'Place',
     'Plan',
+    'Prefix',
+    'PrefixColumns',
     'Proof',
     'ProofAnswer',
     'ProofRequest',
@@ -135,9 +166,12 @@
     'Role',
     'Route',
     'Sighting',
+    'Site',
     'SlotRelease',
     'SlotRequest',
     'Steering',
+    'SteeringView',
+    'Step',
     'StoredAnswer',
     'Target',
     'Team',
