Check drains before they start; print decisions in words

Cause: two drains could take the last targets of a service, and explain gave a table without the evidence. Change: starting a drain is refused where it clashes with another or leaves a service without targets; the dry run tells the same, and whether the teams' rates would still fit; explain prints what was seen and what was not done.

--- a/src/currantspur/cli/review.py
+++ b/src/currantspur/cli/review.py
@@ -22,16 +22,6 @@
 BLAME_COLUMNS = ('path', 'setting', 'version', 'time', 'author', 'change_id')
 DIFFERENCE_COLUMNS = ('path', 'before', 'after')
 EFFECT_COLUMNS = ('mark', 'kind', 'subject', 'share', 'text')
-DECISION_COLUMNS = (
-    'time',
-    'instance',
-    'kind',
-    'subject',
-    'action',
-    'reason',
-    'version',
-    'author',
-)
 
 
 @app.command
@@ -86,7 +76,8 @@
         'limit': limit,
     }
     answer = access.run(partial(_get, path='/v1/explain', query=query))
-    access.show(answer, print_table(map(_timed, answer), DECISION_COLUMNS))
+    lines = [line for one in answer for line in one['words']]
+    access.show(answer, ''.join(f'{line}\n' for line in lines))
 
 
 @app.command
--- a/src/currantspur/decisions/edits.py
+++ b/src/currantspur/decisions/edits.py
@@ -3,6 +3,7 @@
 from abc import abstractmethod
 from typing import Any, ClassVar, TypeVar
 
+from currantspur.decisions.drain_plan import check_drain
 from currantspur.errors import EditError, TakenError
 from currantspur.messages import (
     Configuration,
@@ -133,11 +134,14 @@
         self.drain = drain
 
     def apply(self, configuration: Configuration) -> Configuration:
-        """Add the drain or raise EditError where its name is taken."""
+        """Add the drain or raise EditError for what speaks against it."""
         if self.drain.name not in _list_scope(configuration, self.drain.scope):
             raise EditError(f'no such {self.drain.scope}: {self.drain.name}')
         if _has_drain(configuration, self.drain.drain_id):
             raise TakenError(f'drain exists: {self.drain.drain_id}')
+        findings = check_drain(configuration, self.drain, {})
+        if findings:
+            raise TakenError('; '.join(one.text for one in findings))
         drains = (*configuration.drains, self.drain)
         return _copy(configuration, drains=drains)
 
--- a/src/currantspur/decisions/forecast.py
+++ b/src/currantspur/decisions/forecast.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from collections.abc import Iterator
 
+from currantspur.decisions.drain_plan import check_drain
 from currantspur.decisions.drains import covers
 from currantspur.messages import Configuration, Region, Target
 from currantspur.messages.operators import Effect
@@ -17,6 +18,7 @@
         *_foresee_teams(before, after),
         *_foresee_intake(after),
         *_foresee_shift(before, after),
+        *_foresee_drains(before, after),
     ]
 
 
@@ -100,6 +102,24 @@
             )
 
 
+def _foresee_drains(
+    before: Configuration, after: Configuration
+) -> Iterator[Effect]:
+    known = {drain.drain_id for drain in before.drains}
+    granted = {'granted': sum(team.rate for team in after.teams)}
+    for drain in after.drains:
+        if drain.drain_id in known:
+            continue
+        for finding in check_drain(after, drain, granted):
+            yield Effect(
+                kind='limit',
+                subject=f'drain {drain.drain_id}',
+                share=1.0,
+                text=finding.text,
+                is_warning=True,
+            )
+
+
 def _intake(region: Region) -> float:
     return region.intake_rate
 
--- a/src/currantspur/wire/admin/queries.py
+++ b/src/currantspur/wire/admin/queries.py
@@ -6,6 +6,7 @@
 
 from currantspur.decisions.difference import blame, compare
 from currantspur.decisions.drains import name_state
+from currantspur.decisions.explanation import explain
 from currantspur.decisions.forecast import foresee
 from currantspur.errors import RejectedError
 from currantspur.messages import Configuration, Head, Question
@@ -36,6 +37,7 @@
 from currantspur.wire.admin.services import AdminServices
 
 HISTORY_LIMIT = 256
+LATEST_S = 1_000_000_000_000
 TEXT = Field('text', limit=TEXT_LIMIT)
 FILE = Field('file', default='configuration')
 LIMIT = Field('limit', 'whole', default=HISTORY_LIMIT)
@@ -43,6 +45,8 @@
     Field('subject', default=''),
     Field('team', default=''),
     Field('request_id', default=''),
+    Field('since_s', 'number', default=0),
+    Field('until_s', 'number', default=LATEST_S),
     LIMIT,
 )
 
@@ -184,10 +188,17 @@
                 subject=request.query.get('subject') or None,
                 team=request.query.get('team') or None,
                 request_id=request.query.get('request_id') or None,
+                since_s=read_query(request, 'since_s', 'number', 0),
+                until_s=read_query(request, 'until_s', 'number', LATEST_S),
                 limit=max(1, min(limit, HISTORY_LIMIT)),
             )
         )
-        return encode_json([to_plain(decision) for decision in decisions])
+        return encode_json(
+            [
+                {**to_plain(decision), 'words': list(explain(decision))}
+                for decision in decisions
+            ]
+        )
 
     async def show_drains(self, _request: web.Request) -> web.Response:
         """List the drains."""
@@ -245,7 +256,7 @@
 def read_query(request: web.Request, name: str, kind: Any, default: Any) -> Any:
     """Return a member of the query; raise RejectedError if it is wrong."""
     shown: Any = request.query.get(name, default)
-    if kind == 'whole' and isinstance(shown, str):
+    if kind != 'text' and isinstance(shown, str):
         is_number = shown.isascii() and shown.isdecimal()
         shown = float(shown) if is_number else shown
         shown = int(shown) if is_number and shown < TEXT_LIMIT else shown
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -5,7 +5,7 @@
 import pytest
 
 from currantspur.cli import main
-from currantspur.messages import Instance, Membership
+from currantspur.messages import Decision, Instance, Membership
 from currantspur.platform import read_head, read_section
 from currantspur.settings import is_daemon_settings, print_configuration
 from tests.operators import SECRETS, open_instance
@@ -19,6 +19,16 @@
 )
 
 
+DECISION = Decision(
+    at_s=1.0,
+    instance='entry-1',
+    kind='shift',
+    subject='north-1',
+    action='moved',
+    reason='it was asked',
+)
+
+
 @pytest.fixture
 async def served():
     async with AsyncExitStack() as stack:
@@ -63,7 +73,7 @@
         ('show', 'reader', 0, 'teams:'),
         ('history', 'reader', 0, 'first'),
         ('blame teams[team-1].rate', 'reader', 0, 'teams[team-1].rate  120'),
-        ('explain', 'reader', 0, 'reason'),
+        ('explain', 'reader', 0, 'because it was asked'),
         ('diff good.yaml', 'reader', 1, 'teams[team-9].rate'),
         ('diff missing.yaml', 'reader', 1, ''),
         ('dry-run good.yaml', 'reader', 0, 'team team-9'),
@@ -92,6 +102,7 @@
 )
 async def test_commands(run, served, line, operator, code, shown):
     follower = asyncio.create_task(follow_always(served))
+    served.journal.mailbox.post(DECISION)
     came, out, err = await run(line, operator)
     follower.cancel()
     assert came == code, (out, err)
--- a/tests/test_edits.py
+++ b/tests/test_edits.py
@@ -34,6 +34,11 @@
 SECRET, ANNA = mint_operator_key('anna', 'drain')
 ROLES = ('read', 'drain', 'change')
 DRAIN = Drain(drain_id='d1', scope='region', name='north')
+INSIDE = Drain(drain_id='d3', scope='availability_zone', name='north-1')
+REST = [
+    Drain(drain_id=f'd-{name}', scope='region', name=name)
+    for name in ('central', 'south')
+]
 NOWHERE = Drain(drain_id='d2', scope='target', name='nowhere')
 
 
@@ -111,6 +116,8 @@
         ([withdraw(KEY)], 'no such key'),
         ([start(DRAIN), start(DRAIN)], 'drain exists'),
         ([start(NOWHERE)], 'no such target'),
+        ([start(DRAIN), start(INSIDE)], 'both take'),
+        ([start(DRAIN), start(REST[0]), start(REST[1])], 'no target would'),
         ([pause()], 'no such drain'),
         ([CANCEL], 'no such drain'),
     ],
