--- a/src/currantspur/wire/admin/listener.py
+++ b/src/currantspur/wire/admin/listener.py
@@ -11,6 +11,7 @@
 from currantspur.wire.admin.openapi import describe_api
 from currantspur.wire.admin.orders import Orders
 from currantspur.wire.admin.queries import EXPLAIN_QUERY, Queries
+from currantspur.wire.admin.readings import print_readings
 from currantspur.wire.admin.route import AdminRoute
 from currantspur.wire.admin.services import AdminServices
 from currantspur.wire.telemetry import Metrics
@@ -94,7 +95,9 @@
 
     async def show_metrics(self, _request: web.Request) -> web.Response:
         """Print the metrics."""
+        snapshot = await self.queries.ask_snapshot()
         body = generate_latest(self.metrics.registry)
+        body += print_readings(snapshot)
         headers = {'Content-Type': CONTENT_TYPE_LATEST}
         return web.Response(body=body, headers=headers)
 
--- a/src/currantspur/wire/admin/queries.py
+++ b/src/currantspur/wire/admin/queries.py
@@ -33,10 +33,13 @@
     malformed,
     read_form,
 )
+from currantspur.wire.admin.page import PageModel, print_page
 from currantspur.wire.admin.route import AdminRoute
 from currantspur.wire.admin.services import AdminServices
 
 HISTORY_LIMIT = 256
+PAGE_DECISIONS = 50
+PAGE_POLICY = "default-src 'none'; style-src 'unsafe-inline'"
 LATEST_S = 1_000_000_000_000
 TEXT = Field('text', limit=TEXT_LIMIT)
 FILE = Field('file', default='configuration')
@@ -62,6 +65,12 @@
     def routes(self) -> list[AdminRoute]:
         """List the routes."""
         return [
+            AdminRoute(
+                'GET',
+                '/',
+                self.show_page,
+                summary='Page with regions, teams, drains and decisions.',
+            ),
             AdminRoute(
                 'GET',
                 '/v1/status',
@@ -144,6 +153,27 @@
             }
         )
 
+    async def show_page(self, _request: web.Request) -> web.Response:
+        """Print the operators' page."""
+        services = self.services
+        snapshot = await self.ask_snapshot()
+        model = PageModel(
+            instance=services.instance.name,
+            snapshot=snapshot,
+            members=await ask_members(
+                services.peers, snapshot, services.instance
+            ),
+            uses=(),
+            decisions=await services.journal.ask(
+                Question(limit=PAGE_DECISIONS)
+            ),
+        )
+        return web.Response(
+            text=print_page(model),
+            content_type='text/html',
+            headers={'Content-Security-Policy': PAGE_POLICY},
+        )
+
     async def show_configuration(self, request: web.Request) -> web.Response:
         """Show a configuration as YAML."""
         version = read_query(request, 'version', 'whole', 0)
