--- a/src/currantspur/cli/__init__.py
+++ b/src/currantspur/cli/__init__.py
@@ -8,6 +8,7 @@
     experiments,
     keys,
     loading,
+    proposals,
     review,
 )
 from currantspur.cli.application import app, main
@@ -22,5 +23,6 @@
     'keys',
     'loading',
     'main',
+    'proposals',
     'review',
 )
--- a/src/currantspur/wire/admin/listener.py
+++ b/src/currantspur/wire/admin/listener.py
@@ -10,6 +10,7 @@
 from currantspur.wire.admin.encoding import encode_json
 from currantspur.wire.admin.openapi import describe_api
 from currantspur.wire.admin.orders import Orders
+from currantspur.wire.admin.proposals import Proposals
 from currantspur.wire.admin.queries import EXPLAIN_QUERY, Queries
 from currantspur.wire.admin.readings import print_readings
 from currantspur.wire.admin.route import AdminRoute
@@ -22,7 +23,14 @@
 class AdminListener:
     """Translate between HTTP and what operators ask."""
 
-    __slots__ = ('is_ready', 'metrics', 'orders', 'queries', 'services')
+    __slots__ = (
+        'is_ready',
+        'metrics',
+        'orders',
+        'proposals',
+        'queries',
+        'services',
+    )
 
     def __init__(
         self,
@@ -36,6 +44,7 @@
         self.is_ready = is_ready
         self.queries = Queries(services)
         self.orders = Orders(services)
+        self.proposals = Proposals(services)
 
     def application(self) -> web.Application:
         """Return the application that serves operators."""
@@ -91,6 +100,7 @@
             ),
             *self.queries.routes(),
             *self.orders.routes(),
+            *self.proposals.routes(),
         ]
 
     async def show_metrics(self, _request: web.Request) -> web.Response:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -340,3 +340,42 @@
     texts.extend(capfd.readouterr())
     for secret in SECRETS.values():
         assert secret[20:] not in ''.join(texts)
+
+
+PROPOSAL = {'proposal_id': 'p1', 'base_version': 2, 'text': TEXT, 'note': 'n'}
+
+
+@pytest.mark.parametrize(
+    ('operator', 'body', 'status', 'code'),
+    [
+        ('reader', PROPOSAL, 200, None),
+        ('stranger', PROPOSAL, 401, 'unauthorised'),
+        ('reader', {**PROPOSAL, 'text': BROKEN}, 422, 'findings'),
+        ('reader', {**PROPOSAL, 'base_version': -1}, 400, 'malformed'),
+        ('reader', {**PROPOSAL, 'proposal_id': 'taken'}, 409, 'conflict'),
+    ],
+)
+async def test_proposals(served, operator, body, status, code):
+    taken = {**PROPOSAL, 'proposal_id': 'taken'}
+    await served.call('POST', '/v1/proposals', taken, 'anna')
+    came, answer = await served.call('POST', '/v1/proposals', body, operator)
+    assert (came, answer.get('error', {}).get('code')) == (status, code)
+    _, listed = await served.call('GET', '/v1/proposals')
+    assert len(listed) == 1 + (status == 200)
+    again, _ = await served.call('POST', '/v1/proposals', body, operator)
+    assert again == status
+
+
+@pytest.mark.parametrize(
+    ('operator', 'status', 'left'), [('anna', 200, 0), ('drainer', 403, 1)]
+)
+async def test_drop_proposal(served, operator, status, left):
+    await served.call('POST', '/v1/proposals', PROPOSAL, 'reader')
+    _, shown = await served.call('GET', '/v1/proposals/p1')
+    assert (shown['text'], shown['author']) == (TEXT, 'reader')
+    path = '/v1/proposals/p1/drop'
+    came, _ = await served.call('POST', path, {}, operator)
+    _, listed = await served.call('GET', '/v1/proposals')
+    assert (came, len(listed)) == (status, left)
+    came, _ = await served.call('GET', '/v1/proposals/none')
+    assert came == 404
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -170,3 +170,16 @@
     line = 'status --admin 127.0.0.1:1 --operator-key x'
     assert run_app(line.split()) == 5
     assert 'ClientConnectorError' in capsys.readouterr().err
+
+
+async def test_proposal_is_applied_by_another(run):
+    _, out, _ = await run('proposals add good.yaml --base 1', 'reader')
+    proposal_id = out.split()[-1]
+    _, out, _ = await run('proposals list', 'reader')
+    assert 'reader' in out
+    _, out, _ = await run(f'proposals show {proposal_id}')
+    assert out == TEXT
+    code, out, err = await run(f'proposals apply {proposal_id}', 'omar')
+    assert (code, out) == (0, 'version 2 by omar\n'), err
+    _, out, _ = await run('history')
+    assert 'proposed by reader' in out
--- a/tests/test_openapi.py
+++ b/tests/test_openapi.py
@@ -1,3 +1,4 @@
+import re
 from contextlib import AsyncExitStack
 from pathlib import Path
 
@@ -41,7 +42,7 @@
 
 @pytest.mark.parametrize(('path', 'method', 'operation'), OPERATIONS)
 async def test_description_holds(served, path, method, operation):
-    url = path.replace('{key_id}', 'none').replace('{drain_id}', 'none')
+    url = re.sub(r'\{\w+\}', 'none', path)
     status, _ = await served.call(method, url, None, None)
     is_guarded = 'security' in operation
     assert (status == 401) == is_guarded
