Tell how far drains are, as the instance steers

Cause: the state of a drain said only whether its time had come. Change: the steering task answers how much of the callers a zone or region still gets; the API and the command line show it.

--- a/src/currantspur/cli/drains.py
+++ b/src/currantspur/cli/drains.py
@@ -11,7 +11,15 @@
 from currantspur.cli.tables import print_table
 from currantspur.wire.admin_client import AdminClient
 
-DRAIN_COLUMNS = ('drain_id', 'scope', 'name', 'state', 'start_s', 'pace')
+DRAIN_COLUMNS = (
+    'drain_id',
+    'scope',
+    'name',
+    'state',
+    'left',
+    'start_s',
+    'pace',
+)
 Scope = Literal['target', 'availability_zone', 'region']
 
 drain = cyclopts.App(name='drain', help='Plan and watch drains.')
--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -291,6 +291,7 @@
             administration=self.administration.mailbox,
             changes=self.changes.mailbox,
             journal=self.journal.mailbox,
+            steering=self.steering.mailbox,
             platform=self.control.platform,
             peers=self.peers,
         )
--- a/src/currantspur/messages/operators.py
+++ b/src/currantspur/messages/operators.py
@@ -97,6 +97,12 @@
     __slots__ = ()
 
 
+class DrainQuery(Message):
+    """Ask how far the drains are, as this instance steers."""
+
+    __slots__ = ()
+
+
 class LimitUse(Message):
     """Say how much of a part is left, lent, borrowed and asked for."""
 
--- a/src/currantspur/tasks/steering.py
+++ b/src/currantspur/tasks/steering.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from currantspur.decisions.drain_plan import DrainProgress, tell_progress
 from currantspur.decisions.nearness import EntryTable
 from currantspur.decisions.steerer import Steerer
 from currantspur.messages import (
@@ -13,6 +14,7 @@
     Message,
     name_team_limit,
 )
+from currantspur.messages.operators import DrainQuery
 from currantspur.pipelines import assemble_lookup
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.mailbox import Letter, Mailbox
@@ -56,6 +58,8 @@
             message = letter.message
             if isinstance(message, LookupQuery):
                 asked.append(letter)
+            elif isinstance(message, DrainQuery):
+                letter.answer(self.tell_drains())
             else:
                 self.learn(message)
         self._step()
@@ -79,6 +83,16 @@
         elif isinstance(message, LoadReport):
             self.steerer.accept(message)
 
+    def tell_drains(self) -> list[DrainProgress]:
+        """Return how far each drain of a zone or region is."""
+        configuration = self.steerer.configuration
+        unix_s = self.clock.unix()
+        return [
+            tell_progress(configuration, drain, self.steerer.flows, unix_s)
+            for drain in configuration.drains
+            if drain.scope != 'target'
+        ]
+
     def _follow_zones(self) -> None:
         live = frozenset(self.table.spread.instances)
         self.steerer.replace(live, self.clock.now())
--- a/src/currantspur/wire/admin/queries.py
+++ b/src/currantspur/wire/admin/queries.py
@@ -10,7 +10,7 @@
 from currantspur.decisions.forecast import foresee
 from currantspur.errors import RejectedError
 from currantspur.messages import Configuration, Head, Question
-from currantspur.messages.operators import Snapshot, SnapshotQuery
+from currantspur.messages.operators import DrainQuery, Snapshot, SnapshotQuery
 from currantspur.platform.history import (
     has_configuration,
     read_past,
@@ -233,9 +233,15 @@
     async def show_drains(self, _request: web.Request) -> web.Response:
         """List the drains."""
         snapshot = await self.ask_snapshot()
+        told = await self.services.steering.ask(DrainQuery())
+        progress = {one.drain_id: to_plain(one) for one in told}
         return encode_json(
             [
-                {**to_plain(drain), 'state': name_state(drain, snapshot.unix_s)}
+                {
+                    **to_plain(drain),
+                    'state': name_state(drain, snapshot.unix_s),
+                    **progress.get(drain.drain_id, {}),
+                }
                 for drain in snapshot.configuration.drains
             ]
         )
--- a/src/currantspur/wire/admin/services.py
+++ b/src/currantspur/wire/admin/services.py
@@ -16,6 +16,7 @@
         'journal',
         'peers',
         'platform',
+        'steering',
     )
 
     def __init__(
@@ -25,6 +26,7 @@
         administration: Mailbox,
         changes: Mailbox,
         journal: Mailbox,
+        steering: Mailbox,
         platform: Platform,
         peers: PeerPort,
     ) -> None:
@@ -32,5 +34,6 @@
         self.administration = administration
         self.changes = changes
         self.journal = journal
+        self.steering = steering
         self.platform = platform
         self.peers = peers
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -22,6 +22,7 @@
     ChangeTask,
     DirectCommitter,
     Journal,
+    SteeringTask,
     SystemClock,
 )
 from currantspur.tasks.peers import PeerPort
@@ -68,6 +69,12 @@
             trusted=(TRUSTED,),
         )
         self.journal = Journal()
+        self.steering = SteeringTask(
+            clock=SystemClock(),
+            journal=self.journal.mailbox,
+            instance='entry-1',
+            freshness_s=1.5,
+        )
         self.listener = AdminListener(
             services=AdminServices(
                 instance=Instance(
@@ -79,6 +86,7 @@
                 administration=self.task.mailbox,
                 changes=self.changes.mailbox,
                 journal=self.journal.mailbox,
+                steering=self.steering.mailbox,
                 platform=seen,
                 peers=self.peers,
             ),
@@ -87,7 +95,7 @@
         )
 
     async def open(self):
-        for one in (self.task, self.changes, self.journal):
+        for one in (self.task, self.changes, self.journal, self.steering):
             job = asyncio.create_task(one.run())
             self.stack.callback(job.cancel)
         runner = web.AppRunner(self.listener.application(), access_log=None)
@@ -105,6 +113,7 @@
         configuration = await read_section(self.platform, head)
         version = InForce(head=head, configuration=configuration)
         self.task.mailbox.post(version)
+        self.steering.mailbox.post(version)
         now = self.task.clock.now()
         self.task.mailbox.post(Proof(version=head.version, proven_at=now))
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -379,3 +379,24 @@
     assert (came, len(listed)) == (status, left)
     came, _ = await served.call('GET', '/v1/proposals/none')
     assert came == 404
+
+
+@pytest.mark.parametrize(
+    ('scope', 'name', 'paused', 'state'),
+    [
+        ('target', 'status-1', False, 'draining'),
+        ('target', 'status-1', True, 'paused'),
+        ('availability_zone', 'north-1', True, 'paused'),
+        ('region', 'north', False, 'drained'),
+    ],
+)
+async def test_drain_states(served, scope, name, paused, state):
+    body = {**START, 'scope': scope, 'name': name}
+    await served.call('POST', '/v1/drains', body)
+    if paused:
+        path = '/v1/drains/d1/pause'
+        await served.call('POST', path, {'change_id': 'c2'})
+    await served.follow()
+    _, drains = await served.call('GET', '/v1/drains', None, 'reader')
+    states = {drain['drain_id']: drain['state'] for drain in drains}
+    assert states['d1'] == state
