Commit through committers from stand-ins and benches; serve on without the store

Cause: the demonstration and the failure runs wrote the head directly, so no committers were named and keyed service ended with the store.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -17,9 +17,10 @@
 from aiohttp import web
 
 from currantspur.messages import Configuration, Head
-from currantspur.platform import Platform, publish
+from currantspur.platform import Platform
 from currantspur.settings import to_plain
 from currantspur.standins import TargetStandin
+from currantspur.standins.operator import OperatorStandin
 from currantspur.standins.workloads import (
     Workload,
     describe_workload,
@@ -96,13 +97,13 @@
     __slots__ = (
         'daemons',
         'folder',
+        'operator',
         'platform',
         'platform_address',
         'platform_process',
         'session',
         'stack',
         'targets',
-        'version',
     )
 
     def __init__(self, stack: AsyncExitStack, folder: Path) -> None:
@@ -110,7 +111,7 @@
         self.folder = folder
         self.daemons: list[Process] = []
         self.targets: dict[str, TargetStandin] = {}
-        self.version = 0
+        self.operator: OperatorStandin
         self.platform: Platform
         self.platform_address = ''
         self.platform_process: Process
@@ -128,6 +129,8 @@
         client = PlatformClient(self.platform_address)
         self.stack.push_async_callback(client.close)
         self.platform = open_platform(client)
+        self.operator = OperatorStandin(self.platform, name='bench')
+        self.stack.push_async_callback(self.operator.close)
 
     async def open_targets(self, names: list[str]) -> dict[str, str]:
         """Serve a stand-in for each target and return the addresses."""
@@ -172,16 +175,8 @@
         return process
 
     async def apply(self, configuration: Configuration) -> Head:
-        """Publish a configuration on top of the newest version."""
-        head = await publish(
-            self.platform,
-            configuration,
-            author='bench',
-            change_id=f'bench-{self.version}',
-            base_version=self.version,
-        )
-        self.version = head.version
-        return head
+        """Commit a configuration on top of the newest version."""
+        return await self.operator.apply(configuration)
 
     async def wait_ready(self) -> None:
         """Wait until every daemon has a version in force."""
--- a/src/currantspur/demo.py
+++ b/src/currantspur/demo.py
@@ -102,7 +102,7 @@
     ]
     yield _expect('targets that saw the key', 0, len(seen))
     admin = fleet.daemons[0].settings.admin
-    async for step in _explain(session, admin, fleet.version):
+    async for step in _explain(session, admin, fleet.operator.version):
         yield step
 
 
--- a/src/currantspur/standins/fleet.py
+++ b/src/currantspur/standins/fleet.py
@@ -7,11 +7,14 @@
 
 from currantspur.daemon import Daemon
 from currantspur.messages import Configuration
-from currantspur.platform import Platform, publish
+from currantspur.platform import Platform
 from currantspur.settings import DaemonSettings
+from currantspur.standins.faults import FaultTable
+from currantspur.standins.operator import OperatorStandin
 from currantspur.standins.platform import PlatformStandin
 from currantspur.standins.store import open_memory_platform
 from currantspur.standins.target import TargetStandin
+from currantspur.tasks.clock import SystemClock
 
 HOST = '127.0.0.1'
 SETTLE_S = 2.5
@@ -20,14 +23,23 @@
 class Fleet:
     """Hold a platform, targets and entry instances in one process."""
 
-    __slots__ = ('daemons', 'platform', 'stack', 'targets', 'version')
+    __slots__ = (
+        'daemons',
+        'faults',
+        'operator',
+        'platform',
+        'stack',
+        'targets',
+    )
 
     def __init__(self, stack: AsyncExitStack) -> None:
         self.stack = stack
         self.platform: Platform = open_memory_platform()
         self.targets: dict[str, TargetStandin] = {}
         self.daemons: list[Daemon] = []
-        self.version = 0
+        self.faults = FaultTable(SystemClock())
+        self.operator = OperatorStandin(self.platform, name='demo')
+        stack.push_async_callback(self.operator.close)
 
     async def serve(self, application: web.Application) -> str:
         """Serve at a free port and return the address."""
@@ -49,7 +61,7 @@
     async def open_daemons(self, zones: tuple[str, ...]) -> None:
         """Start an entry instance in each availability zone named."""
         address = await self.serve(
-            PlatformStandin(self.platform).application(),
+            PlatformStandin(self.platform, self.faults).application(),
         )
         for index, zone in enumerate(zones, start=1):
             settings = DaemonSettings(
@@ -75,14 +87,7 @@
 
     async def apply(self, configuration: Configuration) -> None:
         """Publish a configuration and wait until it is in force."""
-        head = await publish(
-            self.platform,
-            configuration,
-            author='demo',
-            change_id=f'demo-{self.version}',
-            base_version=self.version,
-        )
-        self.version = head.version
+        await self.operator.apply(configuration)
         await asyncio.sleep(SETTLE_S)
 
     async def count_runs(self, key: str) -> int:
--- /dev/null
+++ b/src/currantspur/standins/operator.py
@@ -0,0 +1,47 @@
+"""Commit configurations as an operator's tool would."""
+
+from currantspur.messages import Change, Configuration, Head
+from currantspur.platform import Platform
+from currantspur.platform.versions import CONFIGURATION_SECTION
+from currantspur.settings import print_configuration
+from currantspur.tasks.clock import SystemClock
+from currantspur.tasks.committer import QuorumCommitter
+from currantspur.tasks.mailbox import Mailbox
+from currantspur.tasks.quorum import Quorum
+from currantspur.wire.peer_grpc import GrpcPeers
+
+
+class OperatorStandin:
+    """Commit through the committers that the newest version names."""
+
+    __slots__ = ('committer', 'name', 'peers', 'version')
+
+    def __init__(self, platform: Platform, *, name: str) -> None:
+        self.name = name
+        self.version = 0
+        self.peers = GrpcPeers()
+        self.committer = QuorumCommitter(
+            platform=platform,
+            quorum=Quorum(name=name, peers=self.peers, local=Mailbox()),
+            clock=SystemClock(),
+            list_members=platform.instances.list,
+            notices=Mailbox(),
+        )
+
+    async def apply(self, configuration: Configuration) -> Head:
+        """Commit a configuration on top of the one applied before."""
+        body = print_configuration(configuration).encode()
+        head = await self.committer.commit(
+            Change(
+                change_id=f'{self.name}-{self.version}',
+                base_version=self.version,
+                sections={CONFIGURATION_SECTION: body},
+                author=self.name,
+            )
+        )
+        self.version = head.version
+        return head
+
+    async def close(self) -> None:
+        """Close the channels to committers."""
+        await self.peers.close()
--- a/src/currantspur/tasks/committer.py
+++ b/src/currantspur/tasks/committer.py
@@ -1,6 +1,7 @@
 """Commit changes as the next version."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
 from contextlib import aclosing
 
 from currantspur.decisions.committers import (
@@ -17,7 +18,7 @@
 from currantspur.messages import (
     Change,
     Head,
-    MembersRequest,
+    Instance,
     VersionNotice,
     WriteAcknowledgement,
     WriteIntent,
@@ -34,6 +35,8 @@
 from currantspur.tasks.mailbox import Mailbox
 from currantspur.tasks.quorum import Quorum
 
+ListMembers = Callable[[], Awaitable[tuple[Instance, ...]]]
+
 ATTEMPTS = 5
 RETRY_S = 0.3
 
@@ -64,7 +67,7 @@
 class QuorumCommitter(Committer):
     """Announce each write to a majority of committers before it is sent."""
 
-    __slots__ = ('clock', 'members', 'notices', 'platform', 'quorum')
+    __slots__ = ('clock', 'list_members', 'notices', 'platform', 'quorum')
 
     def __init__(
         self,
@@ -72,14 +75,14 @@
         platform: Platform,
         quorum: Quorum,
         clock: Clock,
-        members: Mailbox,
+        list_members: ListMembers,
         notices: Mailbox,
     ) -> None:
         """Take who knows the members and who spreads new versions."""
         self.platform = platform
         self.quorum = quorum
         self.clock = clock
-        self.members = members
+        self.list_members = list_members
         self.notices = notices
 
     async def commit(self, change: Change) -> Head:
@@ -102,10 +105,8 @@
         draft = await draft_head(self.platform, change, names)
         if draft.is_landed:
             return self._announce(draft.head)
-        members = await self.members.ask(MembersRequest(asker=''))
-        draft.head.committers = choose_committers(
-            draft.needed, members.instances
-        )
+        members = await self.list_members()
+        draft.head.committers = choose_committers(draft.needed, members)
         conditions = await self._gather(draft, change)
         try:
             head = await send_draft(self.platform, draft, conditions)
--- a/src/currantspur/tasks/control.py
+++ b/src/currantspur/tasks/control.py
@@ -6,6 +6,7 @@
 from currantspur.messages import (
     HeadRequest,
     Instance,
+    MembersAnswer,
     MembersRequest,
     Message,
     ObjectRequest,
@@ -147,6 +148,12 @@
         """Return the platform, counting calls for a mechanism."""
         return count_calls(self.platform, self.counter, mechanism)
 
+    async def list_members(self) -> tuple[Instance, ...]:
+        """Return the members as this instance knows them."""
+        question = MembersRequest(asker=self.instance.name)
+        answer: MembersAnswer = await self.membership.mailbox.ask(question)
+        return answer.instances
+
     def _mailboxes(self) -> Iterator[Mailbox]:
         yield self.relay.mailbox
         yield self.follower.mailbox
@@ -193,7 +200,7 @@
             platform=self.count('changes'),
             quorum=self.quorum,
             clock=self.clock,
-            members=self.membership.mailbox,
+            list_members=self.list_members,
             notices=self.notifier.mailbox,
         )
 
