--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -31,6 +31,7 @@
 END_S = 34
 STEP_S = 0.25
 IN_FORCE_S = 3.0
+RECOVER_S = 2
 
 
 def set_faults(*faults):
@@ -213,6 +214,7 @@
     script.append((HEAL_S, heal))
     fleet, watch, log = run_virtual(play(script))
     assert watch.serving(CHECK_S) == serving
+    assert watch.serving(HEAL_S + RECOVER_S) == EVERY
     assert (log[0][0] < HEAL_S) is accepted
     if accepted:
         check_promises(fleet, watch, serving - {restart})
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -77,3 +77,16 @@
     text = print_configuration(written)
     assert read_configuration(text) == written
     assert print_configuration(read_configuration(text)) == text
+
+
+@pytest.mark.parametrize(
+    ('written', 'seeds'),
+    [
+        ('', ()),
+        ('seeds: []\n', ()),
+        ('seeds:\n- peer: 10.0.0.1:2\n', ('10.0.0.1:2',)),
+    ],
+)
+def test_seeds(written: str, seeds: tuple[str, ...]):
+    settings = read_daemon_settings(DAEMON + written, file='entry.yaml')
+    assert settings.seeds == seeds
