--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine, Iterator
+from random import Random
 from ssl import SSLContext
 from typing import Any
 
@@ -17,6 +18,7 @@
     AdmissionTask,
     Attempts,
     ChangeTask,
+    ClaimSweep,
     ClaimTask,
     Clock,
     Control,
@@ -142,6 +144,7 @@
         for work in self.control.runs():
             self._spawn(work)
         self._spawn(self.changes.run())
+        self._spawn(self._open_sweep().run())
         logger.info('{} listens at {}', settings.instance, settings.listen)
 
     def is_ready(self) -> bool:
@@ -194,6 +197,13 @@
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self.jobs.append(asyncio.create_task(work))
 
+    def _open_sweep(self) -> ClaimSweep:
+        return ClaimSweep(
+            table=self.control.count('claim_sweep').table,
+            clock=self.clock,
+            random=Random(self.settings.instance),
+        )
+
     def _open_caller_tls(self) -> SSLContext | None:
         if self.settings.tls is None:
             return None
--- a/src/currantspur/decisions/claims.py
+++ b/src/currantspur/decisions/claims.py
@@ -1,6 +1,7 @@
 """Decide who may run a non-idempotent request, and until when."""
 
 import re
+from collections.abc import Iterator
 from datetime import UTC, date, datetime, timedelta
 from hashlib import blake2b
 from typing import Literal
@@ -12,6 +13,7 @@
 ANSWER_LIMIT_BYTES = 1_048_576
 ACCEPTED_DAYS = 7
 KEPT_DAYS = 9
+SWEPT_DAYS = 14
 DATED_KEY = re.compile(r'(\d{4}-\d{2}-\d{2})[/:._-].+')
 PREFIX = 'claim'
 UNDATED = 'undated'
@@ -91,10 +93,12 @@
     return oldest <= day <= today + timedelta(days=1)
 
 
-def name_expired(unix_s: float) -> str:
-    """Return the prefix of the newest day whose claims may be deleted."""
-    day = _find_today(unix_s) - timedelta(days=KEPT_DAYS + 1)
-    return f'{PREFIX}/{day.isoformat()}/'
+def name_expired(unix_s: float) -> Iterator[str]:
+    """Yield the prefixes of the rows of days that may be deleted."""
+    today = _find_today(unix_s)
+    for days in range(KEPT_DAYS + 1, KEPT_DAYS + 1 + SWEPT_DAYS):
+        day = today - timedelta(days=days)
+        yield f'{PREFIX}/{day.isoformat()}/'
 
 
 def _find_today(unix_s: float) -> date:
--- a/src/currantspur/decisions/slots.py
+++ b/src/currantspur/decisions/slots.py
@@ -27,6 +27,7 @@
         'open',
         'parts',
         'running',
+        'shares',
         'turn',
         'turns',
     )
@@ -41,6 +42,7 @@
         self.checked_at = float('-inf')
         self.parts: dict[str, int] | None = None
         self.running: dict[str, int] = {}
+        self.shares: dict[str, float] = {}
         self.turns: dict[str, int] = {}
         self.turn = 0
 
@@ -104,7 +106,8 @@
     def usable(self, target: Target, at: float) -> int:
         """Return the slots that may be used now; a suspect has fewer."""
         slots = self.allotted(target)
-        share = self.ejector.share(target.name, at)
+        seen = self.ejector.share(target.name, at)
+        share = min(seen, self.shares.get(target.name, 1.0))
         if share >= 1:
             return slots
         return min(slots, max(1, int(slots * share))) if share else 0
--- a/src/currantspur/messages/traffic.py
+++ b/src/currantspur/messages/traffic.py
@@ -242,6 +242,16 @@
         self.verdict = verdict
 
 
+class TargetShares(Message):
+    """Say what share of its slots each target may use; one if unnamed."""
+
+    __slots__ = ('by_target',)
+
+    def __init__(self, *, by_target: dict[str, float]) -> None:
+        """Take shares from 0 to 1 as judged from reported health."""
+        self.by_target = by_target
+
+
 class Expiry(Message):
     """Remind a task that the time of something it holds has come."""
 
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -5,6 +5,7 @@
 from currantspur.tasks.attempts import Attempts, TargetPort
 from currantspur.tasks.body import BodySource, RequestBody
 from currantspur.tasks.changes import ChangeTask
+from currantspur.tasks.claim_sweep import ClaimSweep
 from currantspur.tasks.claims import ClaimTask
 from currantspur.tasks.clock import Clock, SystemClock
 from currantspur.tasks.committer import (
@@ -28,6 +29,7 @@
     'Attempts',
     'BodySource',
     'ChangeTask',
+    'ClaimSweep',
     'ClaimTask',
     'Clock',
     'Committer',
--- a/src/currantspur/tasks/targets.py
+++ b/src/currantspur/tasks/targets.py
@@ -21,6 +21,7 @@
     SlotRequest,
     Target,
 )
+from currantspur.messages.traffic import TargetShares
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.mailbox import Letter, Mailbox
 from currantspur.tasks.task import Task
@@ -90,6 +91,8 @@
             self._apply(message.configuration)
         elif isinstance(message, Parts):
             self.table.allot(message.by_limit)
+        elif isinstance(message, TargetShares):
+            self.table.shares = message.by_target
         elif isinstance(message, Expiry):
             self.alarm_at = float('inf')
             self._expire()
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -14,11 +14,11 @@
     Refusal,
     StoredAnswer,
 )
-from currantspur.platform import Platform
+from currantspur.platform import Platform, Transaction
 from currantspur.standins import open_memory_platform
 from currantspur.standins.faults import Fault, FaultTable, wrap_platform
 from currantspur.standins.store import MemoryTable
-from currantspur.tasks import ClaimTask, SystemClock, claims
+from currantspur.tasks import ClaimSweep, ClaimTask, SystemClock, claims
 from tests.carrying import open_site
 
 DAY_S = 86_400
@@ -120,6 +120,36 @@
     assert name_claim('t', 'a') != name_claim('u', 'a')
 
 
+class LaterClock(SystemClock):
+    __slots__ = ()
+
+    def unix(self):
+        return NOON_S
+
+
+@pytest.mark.parametrize(
+    ('day', 'is_kept'),
+    [
+        ('2026-05-28', True),
+        ('2026-05-20', True),
+        ('2026-05-19', True),
+        ('2026-05-18', False),
+        ('2026-05-06', False),
+    ],
+)
+async def test_sweeps_delete_what_is_refused(day, is_kept):
+    table = MemoryTable()
+    rows = [name_claim('t', f'{day}/{index}') for index in range(300)]
+    rows.append(name_claim('t', 'undated'))
+    await table.commit(
+        Transaction(conditions={}, writes=dict.fromkeys(rows, 'x'))
+    )
+    sweep = ClaimSweep(table=table, clock=LaterClock(), random=Random(1))
+    await sweep.sweep()
+    assert len(table.rows) == 1 + 300 * is_kept
+    assert is_kept or not is_acceptable(f'{day}/0', NOON_S)
+
+
 def ask(task, key, attempt):
     return task.mailbox.ask(
         ClaimRequest(
--- a/tests/test_target_faults.py
+++ b/tests/test_target_faults.py
@@ -1,11 +1,11 @@
 import asyncio
 from hashlib import sha256
 
-import aiohttp
 import orjson
 import pytest
+from aiohttp import ClientError, web
 
-from tests.carrying import open_site
+from tests.carrying import SECRET, open_site
 
 CUT = 'cut'
 ANSWERED = 200
@@ -17,7 +17,7 @@
 async def see(site, path, **options):
     try:
         response, body = await site.call(path, **options)
-    except aiohttp.ClientError:
+    except ClientError:
         return CUT
     if response.status == ANSWERED:
         return ANSWERED
@@ -149,7 +149,7 @@
 async def test_a_cut_upload_never_runs_as_a_shorter_one():
     async with open_site(targets=1) as site:
         for key in ('a', 'b', 'c', 'd'):
-            with pytest.raises(aiohttp.ClientError):
+            with pytest.raises(ClientError):
                 await site.call(
                     '/submit', method='POST', data=cut_body(), key=key
                 )
@@ -185,3 +185,40 @@
         )
         assert {response.status for response, _ in answers} == {ANSWERED}
         assert max(target.most_running for target in site.targets) == 3
+
+
+WRITTEN = 64 * 1024 * 1024
+HELD = WRITTEN // 2
+
+
+class Spout:
+    """Write much, and count what was taken."""
+
+    def __init__(self):
+        self.written = 0
+
+    def application(self):
+        application = web.Application()
+        application.router.add_route('*', '/{path:.*}', self.run)
+        return application
+
+    async def run(self, request):
+        response = web.StreamResponse()
+        await response.prepare(request)
+        while self.written < WRITTEN:
+            await response.write(LARGE)
+            self.written += len(LARGE)
+        return response
+
+
+async def test_slow_callers_hold_their_target_back():
+    async with open_site(targets=1) as site:
+        spout = Spout()
+        target = site.entries[0].configuration.targets[0]
+        target.address = await site.serve(spout.application())
+        url = f'{site.entries[0].url}/read'
+        headers = {'Authorization': f'Bearer {SECRET}'}
+        async with site.session.get(url, headers=headers) as response:
+            await response.content.readany()
+            await asyncio.sleep(0.5)
+            assert spout.written < HELD
--- a/tests/test_target_pool.py
+++ b/tests/test_target_pool.py
@@ -16,6 +16,7 @@
     Target,
     Team,
 )
+from currantspur.messages.traffic import TargetShares
 from currantspur.tasks import Clock, Journal, Letter, TargetPool
 
 
@@ -166,6 +167,16 @@
     assert found.count('overloaded') == retries - given
 
 
+@pytest.mark.parametrize(
+    ('share', 'given'), [(1, 5), (0.6, 3), (0.01, 1), (0, 0)]
+)
+async def test_reported_health_limits_slots(share, given):
+    rig = Rig(slots=5)
+    rig.tell(TargetShares(by_target={'target-0': share}))
+    seen = [describe(rig.ask()) for _ in range(6)]
+    assert seen.count('target-0') == given
+
+
 async def test_own_zone_first_then_least_used():
     rig = Rig(targets=4, slots=1, zones='ab')
     assert [describe(rig.ask()) for _ in range(5)] == [
