--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -17,13 +17,16 @@
     AdministrationTask,
     AdmissionTask,
     Attempts,
+    BlockLoader,
     ChangeTask,
     ClaimSweep,
     ClaimTask,
     Clock,
     Control,
+    DecisionWriter,
     EqualShares,
     Exchange,
+    HealthTask,
     Journal,
     Mailbox,
     SteeringTask,
@@ -32,6 +35,7 @@
     Task,
 )
 from currantspur.wire.admin import AdminListener, AdminServices
+from currantspur.wire.health import HttpHealth
 from currantspur.wire.listener import Listener
 from currantspur.wire.peer_grpc import GrpcPeers, PeerServer
 from currantspur.wire.platform_http import PlatformClient, open_platform
@@ -47,11 +51,14 @@
     __slots__ = (
         'administration',
         'admission',
+        'blocks',
         'changes',
         'claims',
         'client',
         'clock',
         'control',
+        'decisions',
+        'health',
         'jobs',
         'journal',
         'listener',
@@ -87,18 +94,42 @@
         self.admission = AdmissionTask(
             clock=self.clock, freshness_s=settings.freshness_s
         )
-        self.journal = Journal()
+        self.decisions = DecisionWriter(
+            store=open_platform(self.client).object_store,
+            clock=self.clock,
+            instance=settings.instance,
+        )
+        self.journal = Journal(writer=self.decisions.mailbox)
         self.pool = TargetPool(
             clock=self.clock,
             availability_zone=settings.availability_zone,
             instance=settings.instance,
             journal=self.journal.mailbox,
         )
-        self.steering = SteeringTask()
+        self.health = HealthTask(
+            port=HttpHealth(),
+            clock=self.clock,
+            availability_zone=settings.availability_zone,
+            instance=settings.instance,
+            pool=self.pool.mailbox,
+            journal=self.journal.mailbox,
+        )
+        self.pool.health = self.health.mailbox
+        self.steering = SteeringTask(
+            clock=self.clock,
+            journal=self.journal.mailbox,
+            instance=settings.instance,
+            freshness_s=settings.freshness_s,
+        )
         self.shares = EqualShares(admission=self.admission.mailbox)
         self.administration = AdministrationTask(
             clock=self.clock, trusted=settings.operators
         )
+        self.blocks = BlockLoader(
+            store=open_platform(self.client).object_store,
+            clock=self.clock,
+            steering=self.steering.mailbox,
+        )
         self.control = self._open_control()
         self.claims = ClaimTask(
             platform=self.control.count('claims'), clock=self.clock
@@ -192,6 +223,7 @@
         await self.peer_server.stop()
         await self.peers.close()
         await self.targets.close()
+        await self.health.port.close()
         await self.client.close()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -230,6 +262,9 @@
         yield self.shares
         yield self.claims
         yield self.administration
+        yield self.blocks
+        yield self.decisions
+        yield self.health
 
     def _open_control(self) -> Control:
         settings = self.settings
@@ -243,6 +278,8 @@
             self.admission,
             self.pool,
             self.steering,
+            self.blocks,
+            self.health,
             self.shares,
             self.administration,
         )
--- a/src/currantspur/decisions/slots.py
+++ b/src/currantspur/decisions/slots.py
@@ -1,9 +1,12 @@
 """Choose a target and count the slots in use."""
 
+from collections.abc import Mapping
+
 from currantspur.decisions.drains import is_draining
 from currantspur.decisions.ejection import Ejector
 from currantspur.messages import (
     Configuration,
+    HealthVerdict,
     Part,
     Target,
     name_slots_limit,
@@ -24,10 +27,10 @@
         'checked_at',
         'configuration',
         'ejector',
+        'health',
         'open',
         'parts',
         'running',
-        'shares',
         'turn',
         'turns',
     )
@@ -36,13 +39,13 @@
         self.availability_zone = availability_zone
         self.configuration = Configuration()
         self.ejector = Ejector()
+        self.health: Mapping[str, HealthVerdict] = {}
         self.by_service: dict[str, list[Target]] = {}
         # Targets that take work: of the own availability zone, and others.
         self.open: dict[str, Tiers] = {}
         self.checked_at = float('-inf')
         self.parts: dict[str, int] | None = None
         self.running: dict[str, int] = {}
-        self.shares: dict[str, float] = {}
         self.turns: dict[str, int] = {}
         self.turn = 0
 
@@ -106,8 +109,10 @@
     def usable(self, target: Target, at: float) -> int:
         """Return the slots that may be used now; a suspect has fewer."""
         slots = self.allotted(target)
-        seen = self.ejector.share(target.name, at)
-        share = min(seen, self.shares.get(target.name, 1.0))
+        share = self.ejector.share(target.name, at)
+        verdict = self.health.get(target.name)
+        if verdict is not None and verdict.state != 'unknown':
+            share = min(share, verdict.share)
         if share >= 1:
             return slots
         return min(slots, max(1, int(slots * share))) if share else 0
--- a/src/currantspur/departure.py
+++ b/src/currantspur/departure.py
@@ -9,11 +9,12 @@
 from currantspur.tasks.membership import MembershipReader
 from currantspur.wire.listener import Listener
 
-ANYWHERE = '0.0.0.0'
+ANYWHERE = bytes(4)
 ANNOUNCE_RETRY_S = 0.5
 MARGIN_S = 0.5
 STEP_S = 0.05
 QUIET_STEPS = 3
+RETRY_S = 0.4
 
 
 class Departure:
--- a/src/currantspur/messages/traffic.py
+++ b/src/currantspur/messages/traffic.py
@@ -125,10 +125,11 @@
         self,
         *,
         at: float,
-        client: str,
+        client: bytes,
         service: str | None = None,
         team: str | None = None,
     ) -> None:
+        """Take the client's address as 4 or 16 packed bytes."""
         self.at = at
         self.client = client
         self.service = service
@@ -242,16 +243,6 @@
         self.verdict = verdict
 
 
-class TargetShares(Message):
-    """Say what share of its slots each target may use; one if unnamed."""
-
-    __slots__ = ('by_target',)
-
-    def __init__(self, *, by_target: dict[str, float]) -> None:
-        """Take shares from 0 to 1 as judged from reported health."""
-        self.by_target = by_target
-
-
 class Expiry(Message):
     """Remind a task that the time of something it holds has come."""
 
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -3,6 +3,7 @@
 from currantspur.tasks.administration import AdministrationTask
 from currantspur.tasks.admission import AdmissionTask
 from currantspur.tasks.attempts import Attempts, TargetPort
+from currantspur.tasks.blocks import BlockLoader
 from currantspur.tasks.body import BodySource, RequestBody
 from currantspur.tasks.changes import ChangeTask
 from currantspur.tasks.claim_sweep import ClaimSweep
@@ -14,7 +15,9 @@
     QuorumCommitter,
 )
 from currantspur.tasks.control import Control
+from currantspur.tasks.decisions import DecisionWriter
 from currantspur.tasks.exchange import Exchange
+from currantspur.tasks.health import HealthPort, HealthTask
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.mailbox import Letter, Mailbox
 from currantspur.tasks.peers import PeerPort
@@ -27,6 +30,7 @@
     'AdministrationTask',
     'AdmissionTask',
     'Attempts',
+    'BlockLoader',
     'BodySource',
     'ChangeTask',
     'ClaimSweep',
@@ -34,9 +38,12 @@
     'Clock',
     'Committer',
     'Control',
+    'DecisionWriter',
     'DirectCommitter',
     'EqualShares',
     'Exchange',
+    'HealthPort',
+    'HealthTask',
     'Journal',
     'Letter',
     'Mailbox',
--- a/tests/test_target_pool.py
+++ b/tests/test_target_pool.py
@@ -16,7 +16,7 @@
     Target,
     Team,
 )
-from currantspur.messages.traffic import TargetShares
+from currantspur.messages.health import HealthVerdict, HealthVerdicts
 from currantspur.tasks import Clock, Journal, Letter, TargetPool
 
 
@@ -168,11 +168,25 @@
 
 
 @pytest.mark.parametrize(
-    ('share', 'given'), [(1, 5), (0.6, 3), (0.01, 1), (0, 0)]
+    ('state', 'share', 'given'),
+    [
+        ('healthy', 1, 5),
+        ('degraded', 0.6, 3),
+        ('degraded', 0.01, 1),
+        ('unhealthy', 0, 0),
+        ('unknown', 0, 5),
+    ],
 )
-async def test_reported_health_limits_slots(share, given):
+async def test_reported_health_limits_slots(state, share, given):
     rig = Rig(slots=5)
-    rig.tell(TargetShares(by_target={'target-0': share}))
+    verdict = HealthVerdict(
+        target='target-0',
+        state=state,
+        share=share,
+        reason='reported',
+        report_age_s=1,
+    )
+    rig.tell(HealthVerdicts(by_target={'target-0': verdict}))
     seen = [describe(rig.ask()) for _ in range(6)]
     assert seen.count('target-0') == given
 
