Let claimed submissions end although their caller left

Cause: a caller's broken connection cancelled a submission half way; its outcome could never be learnt. A target with no slots ended the pool's task (division by zero).

Change: a claimed request whose body was sent whole runs in a task of its own to its end, its answer is kept, and leaving waits for it.

--- a/src/currantspur/decisions/slots.py
+++ b/src/currantspur/decisions/slots.py
@@ -150,5 +150,5 @@
         return chosen
 
     def _rank(self, target: Target) -> tuple[float, int]:
-        used = self.count(target) / target.slots
+        used = self.count(target) / max(1, target.slots)
         return used, self.turns.get(target.name, 0)
--- a/src/currantspur/departure.py
+++ b/src/currantspur/departure.py
@@ -66,4 +66,4 @@
         quiet = 0
         while quiet < QUIET_STEPS:
             await self.clock.sleep(STEP_S)
-            quiet = 0 if self.listener.running else quiet + 1
+            quiet = 0 if self.listener.is_busy else quiet + 1
--- a/src/currantspur/tasks/attempts.py
+++ b/src/currantspur/tasks/attempts.py
@@ -92,6 +92,11 @@
         """Tell whether a byte may have reached a target."""
         return self.is_sending or self.was_sent
 
+    @property
+    def is_sent_whole(self) -> bool:
+        """Tell whether a target may run it without anything more of us."""
+        return self.is_sending and self.body.is_whole
+
     @property
     def is_idempotent(self) -> bool:
         """Tell whether the route says that requests may run twice."""
--- a/src/currantspur/tasks/body.py
+++ b/src/currantspur/tasks/body.py
@@ -19,10 +19,11 @@
 class RequestBody:
     """Keep the first bytes of a body for another attempt."""
 
-    __slots__ = ('is_cut', 'kept', 'kept_bytes', 'source')
+    __slots__ = ('is_cut', 'is_whole', 'kept', 'kept_bytes', 'source')
 
-    def __init__(self, source: BodySource) -> None:
+    def __init__(self, source: BodySource, *, is_empty: bool = False) -> None:
         self.source = source
+        self.is_whole = is_empty
         self.kept: list[bytes] = []
         self.kept_bytes = 0
         self.is_cut = False
@@ -39,6 +40,7 @@
         while piece := await self._read():
             self._keep(piece)
             yield piece
+        self.is_whole = True
 
     async def _read(self) -> bytes:
         try:
--- a/src/currantspur/tasks/exchange.py
+++ b/src/currantspur/tasks/exchange.py
@@ -22,6 +22,7 @@
 )
 from currantspur.tasks.attempts import Attempt, Attempts, Part
 from currantspur.tasks.body import RequestBody
+from currantspur.tasks.completion import Completion
 from currantspur.tasks.mailbox import Mailbox
 from currantspur.tasks.recording import Recording
 from currantspur.tasks.tracing import open_span
@@ -32,7 +33,7 @@
 class Exchange:
     """Take requests through admission, claims and targets."""
 
-    __slots__ = ('admission', 'attempts', 'claims', 'tracer')
+    __slots__ = ('admission', 'attempts', 'claims', 'completion', 'tracer')
 
     def __init__(
         self,
@@ -45,6 +46,7 @@
         self.admission = admission
         self.claims = claims
         self.attempts = attempts
+        self.completion = Completion()
         self.tracer = tracer
 
     async def run(
@@ -75,7 +77,10 @@
         else:
             parts = self.attempts.run(attempt)
             if claim is not None:
-                parts = self._record(attempt, claim, parts)
+                parts = self.completion.run(
+                    self._record(attempt, claim, parts),
+                    lambda: attempt.is_sent_whole,
+                )
             async with aclosing(parts) as whole:
                 async for part in whole:
                     yield part
--- a/src/currantspur/wire/listener.py
+++ b/src/currantspur/wire/listener.py
@@ -84,6 +84,12 @@
         """Cancel every request that still runs."""
         for task in self.running:
             task.cancel()
+        self.exchange.completion.cut()
+
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether any request still runs."""
+        return bool(self.running or self.exchange.completion.jobs)
 
     def application(self) -> web.Application:
         """Return the application that serves callers."""
@@ -148,7 +154,9 @@
                 refusal = Refusal(code='bad_request', detail=str(error))
                 return self._refuse(refusal, request_id)
             outgoing = read_outgoing(request, request_id)
-            body = RequestBody(HttpBody(request.content))
+            body = RequestBody(
+                HttpBody(request.content), is_empty=not request.body_exists
+            )
             parts = self.exchange.run(arrival, outgoing, body)
             try:
                 return await self._answer(request, request_id, parts)
--- a/tests/carrying.py
+++ b/tests/carrying.py
@@ -86,8 +86,12 @@
             metrics=self.metrics,
             tracer=NoOpTracer(),
         )
+        self.listener = listener
         return listener.application()
 
+    def busy(self):
+        return self.listener.is_busy
+
 
 class Site:
     """Targets, entries that share them and a platform, and one caller."""
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -89,6 +89,23 @@
         assert set(found) == {ANSWERED, UNKNOWN}
 
 
+@pytest.mark.parametrize(
+    ('leaves_after_s', 'slots', 'runs'), [(0.1, 1, 1), (0.1, 0, 0)]
+)
+async def test_submissions_outlive_their_caller(leaves_after_s, slots, runs):
+    async with open_site(targets=1, slots=slots) as site:
+        call = asyncio.create_task(see(site, 0, method='POST', fault='slow'))
+        await asyncio.sleep(leaves_after_s)
+        call.cancel()
+        while site.entries[0].busy():
+            await asyncio.sleep(0.01)
+        assert site.runs('k') == runs
+        site.entries[0].pool.table.parts = {'target-0': 1}
+        await asyncio.sleep(0.05)
+        assert await see(site, 0, method='POST') == ANSWERED
+        assert site.runs('k') == 1
+
+
 async def test_one_key_for_two_requests():
     async with open_site() as site:
         assert await see(site, 0) == ANSWERED
