--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -6,6 +6,7 @@
 from currantspur.tasks.blocks import BlockLoader
 from currantspur.tasks.body import BodySource, RequestBody
 from currantspur.tasks.changes import ChangeTask
+from currantspur.tasks.claim_sweep import ClaimSweep
 from currantspur.tasks.claims import ClaimTask
 from currantspur.tasks.clock import Clock, SystemClock
 from currantspur.tasks.committer import (
@@ -32,6 +33,7 @@
     'BlockLoader',
     'BodySource',
     'ChangeTask',
+    'ClaimSweep',
     'ClaimTask',
     'Clock',
     'Committer',
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -14,11 +14,11 @@
     Refusal,
     StoredAnswer,
 )
-from currantspur.platform import Platform
+from currantspur.platform import Platform, Transaction
 from currantspur.standins import open_memory_platform
 from currantspur.standins.faults import Fault, FaultTable, wrap_platform
 from currantspur.standins.store import MemoryTable
-from currantspur.tasks import ClaimTask, SystemClock, claims
+from currantspur.tasks import ClaimSweep, ClaimTask, SystemClock, claims
 from tests.carrying import open_site
 
 DAY_S = 86_400
@@ -89,6 +89,23 @@
         assert set(found) == {ANSWERED, UNKNOWN}
 
 
+@pytest.mark.parametrize(
+    ('leaves_after_s', 'slots', 'runs'), [(0.1, 1, 1), (0.1, 0, 0)]
+)
+async def test_submissions_outlive_their_caller(leaves_after_s, slots, runs):
+    async with open_site(targets=1, slots=slots) as site:
+        call = asyncio.create_task(see(site, 0, method='POST', fault='slow'))
+        await asyncio.sleep(leaves_after_s)
+        call.cancel()
+        while site.entries[0].busy():
+            await asyncio.sleep(0.01)
+        assert site.runs('k') == runs
+        site.entries[0].pool.table.parts = {'target-0': 1}
+        await asyncio.sleep(0.05)
+        assert await see(site, 0, method='POST') == ANSWERED
+        assert site.runs('k') == 1
+
+
 async def test_one_key_for_two_requests():
     async with open_site() as site:
         assert await see(site, 0) == ANSWERED
@@ -120,6 +137,36 @@
     assert name_claim('t', 'a') != name_claim('u', 'a')
 
 
+class LaterClock(SystemClock):
+    __slots__ = ()
+
+    def unix(self):
+        return NOON_S
+
+
+@pytest.mark.parametrize(
+    ('day', 'is_kept'),
+    [
+        ('2026-05-28', True),
+        ('2026-05-20', True),
+        ('2026-05-19', True),
+        ('2026-05-18', False),
+        ('2026-05-06', False),
+    ],
+)
+async def test_sweeps_delete_what_is_refused(day, is_kept):
+    table = MemoryTable()
+    rows = [name_claim('t', f'{day}/{index}') for index in range(300)]
+    rows.append(name_claim('t', 'undated'))
+    await table.commit(
+        Transaction(conditions={}, writes=dict.fromkeys(rows, 'x'))
+    )
+    sweep = ClaimSweep(table=table, clock=LaterClock(), random=Random(1))
+    await sweep.sweep()
+    assert len(table.rows) == 1 + 300 * is_kept
+    assert is_kept or not is_acceptable(f'{day}/0', NOON_S)
+
+
 def ask(task, key, attempt):
     return task.mailbox.ask(
         ClaimRequest(
--- a/tests/test_target_pool.py
+++ b/tests/test_target_pool.py
@@ -16,6 +16,7 @@
     Target,
     Team,
 )
+from currantspur.messages.health import HealthVerdict, HealthVerdicts
 from currantspur.tasks import Clock, Journal, Letter, TargetPool
 
 
@@ -166,6 +167,30 @@
     assert found.count('overloaded') == retries - given
 
 
+@pytest.mark.parametrize(
+    ('state', 'share', 'given'),
+    [
+        ('healthy', 1, 5),
+        ('degraded', 0.6, 3),
+        ('degraded', 0.01, 1),
+        ('unhealthy', 0, 0),
+        ('unknown', 0, 5),
+    ],
+)
+async def test_reported_health_limits_slots(state, share, given):
+    rig = Rig(slots=5)
+    verdict = HealthVerdict(
+        target='target-0',
+        state=state,
+        share=share,
+        reason='reported',
+        report_age_s=1,
+    )
+    rig.tell(HealthVerdicts(by_target={'target-0': verdict}))
+    seen = [describe(rig.ask()) for _ in range(6)]
+    assert seen.count('target-0') == given
+
+
 async def test_own_zone_first_then_least_used():
     rig = Rig(targets=4, slots=1, zones='ab')
     assert [describe(rig.ask()) for _ in range(5)] == [
