--- a/bench/http.py
+++ b/bench/http.py
@@ -70,6 +70,7 @@
             yield Figure(
                 name='median latency', reading=median_ms(seconds), unit='ms'
             )
+            yield Figure(name='p99 latency', reading=p99_ms(seconds), unit='ms')
             yield Figure(
                 name='resident memory', reading=daemon.resident_kb(), unit='KB'
             )
@@ -149,6 +150,11 @@
     return sorted(seconds)[len(seconds) // 2] * MS_PER_S
 
 
+def p99_ms(seconds: list[float]) -> float:
+    """Return the 99th percentile in milliseconds."""
+    return sorted(seconds)[int(len(seconds) * 0.99)] * MS_PER_S
+
+
 CASES = (
     HttpCase('look-up over HTTP', '/-/entries?client=10.1.2.3'),
     HttpCase('keyed request over HTTP', '/status/7'),
