Explain decisions in words and refuse drains that clash

Cause: the command printed a table without evidence, and a clashing drain was accepted. Change: 'explain' prints what, why, on what evidence, what was not done; a drain that clashes with another or leaves a service without a target is refused with its reason. A hold is recorded once, not at every step.

--- a/src/currantspur/cli/review.py
+++ b/src/currantspur/cli/review.py
@@ -1,6 +1,7 @@
 """Show what is in force, what would change, and who set what."""
 
 import sys
+from collections.abc import Iterator
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -9,6 +10,8 @@
 from currantspur.cli.application import EXIT_FINDINGS, app
 from currantspur.cli.checking import read_proposal
 from currantspur.cli.tables import print_table, print_time
+from currantspur.decisions.explanation import explain as put_in_words
+from currantspur.platform.decisions import decode_decision
 from currantspur.wire.admin_client import AdminClient
 
 MEMBER_COLUMNS = (
@@ -21,17 +24,8 @@
 HISTORY_COLUMNS = ('version', 'time', 'author', 'change_id', 'note')
 BLAME_COLUMNS = ('path', 'setting', 'version', 'time', 'author', 'change_id')
 DIFFERENCE_COLUMNS = ('path', 'before', 'after')
+NOTHING = 'no decision matches'
 EFFECT_COLUMNS = ('mark', 'kind', 'subject', 'share', 'text')
-DECISION_COLUMNS = (
-    'time',
-    'instance',
-    'kind',
-    'subject',
-    'action',
-    'reason',
-    'version',
-    'author',
-)
 
 
 @app.command
@@ -78,7 +72,7 @@
     request_id: str = '',
     limit: int = 50,
 ) -> None:
-    """List automatic decisions with their reasons, the oldest first."""
+    """Put automatic decisions in words, the oldest first."""
     query = {
         'subject': subject,
         'team': team,
@@ -86,7 +80,8 @@
         'limit': limit,
     }
     answer = access.run(partial(_get, path='/v1/explain', query=query))
-    access.show(answer, print_table(map(_timed, answer), DECISION_COLUMNS))
+    lines = list(_explain_all(answer)) or [NOTHING]
+    access.show(answer, '\n'.join(lines))
 
 
 @app.command
@@ -126,5 +121,10 @@
     return await client.post(path, body)
 
 
+def _explain_all(answer: list[dict[str, Any]]) -> Iterator[str]:
+    for plain in answer:
+        yield from put_in_words(decode_decision(plain))
+
+
 def _timed(row: dict[str, Any]) -> dict[str, Any]:
     return {**row, 'time': print_time(row['at_s'])}
--- a/src/currantspur/decisions/edits.py
+++ b/src/currantspur/decisions/edits.py
@@ -3,6 +3,7 @@
 from abc import abstractmethod
 from typing import Any, ClassVar, TypeVar
 
+from currantspur.decisions.drain_plan import check_drain
 from currantspur.errors import EditError, TakenError
 from currantspur.messages import (
     Configuration,
@@ -138,6 +139,9 @@
             raise EditError(f'no such {self.drain.scope}: {self.drain.name}')
         if _has_drain(configuration, self.drain.drain_id):
             raise TakenError(f'drain exists: {self.drain.drain_id}')
+        findings = check_drain(configuration, self.drain, {})
+        if findings:
+            raise EditError('; '.join(each.text for each in findings))
         drains = (*configuration.drains, self.drain)
         return _copy(configuration, drains=drains)
 
--- a/src/currantspur/decisions/shift.py
+++ b/src/currantspur/decisions/shift.py
@@ -21,7 +21,7 @@
 class Shifter:
     """Take one step at a time towards what a policy chooses."""
 
-    __slots__ = ('moved_at', 'policy', 'spacing_s', 'steering')
+    __slots__ = ('is_holding', 'moved_at', 'policy', 'spacing_s', 'steering')
 
     def __init__(
         self, *, policy: Policy, steering: Steering, freshness_s: float
@@ -30,13 +30,15 @@
         self.steering = steering
         self.spacing_s = max(steering.step_s, steering.cache_s + freshness_s)
         self.moved_at = float('-inf')
+        self.is_holding = False
 
     def decide(self, view: SteeringView, *, at: float) -> Step | None:
         """Return a step, or None while the last one is under way."""
         if at - self.moved_at < self.spacing_s:
             return None
         if has_lost_measurements(view):
-            return self._hold(view, at, 'most measurements are missing')
+            return self._hold(view, at)
+        self.is_holding = False
         chosen = self.policy.choose(view)
         flows = chosen
         if self.policy.is_stepped:
@@ -49,7 +51,10 @@
             flows=flows, shift=shift, decision=self._record(view, at, flows)
         )
 
-    def _hold(self, view: SteeringView, at: float, reason: str) -> Step:
+    def _hold(self, view: SteeringView, at: float) -> Step | None:
+        if self.is_holding:
+            return None
+        self.is_holding = True
         self.moved_at = at
         decision = Decision(
             at_s=at,
@@ -57,7 +62,7 @@
             kind='shift',
             subject='all zones',
             action='moves nothing',
-            reason=reason,
+            reason='most measurements are missing',
             evidence=tuple(list_evidence(view)),
             rejected=('to move: no measurement can be told from a failure',),
         )
