Explain by time, and say where demand is only assumed

Cause: a record showed assumed demand as if it had been seen, and decisions could not be chosen by time. Conclusion: the record tells a measured input from an assumed one.

--- a/src/currantspur/cli/review.py
+++ b/src/currantspur/cli/review.py
@@ -2,6 +2,7 @@
 
 import sys
 from collections.abc import Iterator
+from datetime import UTC, datetime
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -70,15 +71,21 @@
     subject: str = '',
     team: str = '',
     request_id: str = '',
+    since: datetime | None = None,
+    until: datetime | None = None,
     limit: int = 50,
 ) -> None:
     """Put automatic decisions in words, the oldest first."""
-    query = {
+    query: dict[str, Any] = {
         'subject': subject,
         'team': team,
         'request_id': request_id,
         'limit': limit,
     }
+    if since is not None:
+        query['since_s'] = int(since.replace(tzinfo=UTC).timestamp())
+    if until is not None:
+        query['until_s'] = int(until.replace(tzinfo=UTC).timestamp())
     answer = access.run(partial(_get, path='/v1/explain', query=query))
     lines = list(_explain_all(answer)) or [NOTHING]
     access.show(answer, '\n'.join(lines))
--- a/src/currantspur/decisions/shift.py
+++ b/src/currantspur/decisions/shift.py
@@ -133,7 +133,7 @@
         health = 'unknown' if place.health is None else f'{place.health:.0%}'
         yield Evidence(
             name=zone,
-            reading=f'callers want {view.demands.get(zone, 0.0):.0f}/s, '
+            reading=f'{_print_demand(view, zone)}, '
             f'takes {place.capacity:.0f}/s, healthy {health}, '
             f'drains leave {place.kept:.0%}',
             age_s=round(view.ages.get(zone, STALE_S), 1),
@@ -153,6 +153,11 @@
             )
 
 
+def _print_demand(view: SteeringView, zone: str) -> str:
+    verb = 'are assumed to want' if zone in view.assumed else 'want'
+    return f'callers {verb} {view.demands.get(zone, 0.0):.0f}/s'
+
+
 def _print_move(origin: str, zone: str, change: float) -> str:
     return f'callers of {origin}: {change:+.1%} to {zone}'
 
--- a/src/currantspur/decisions/steerer.py
+++ b/src/currantspur/decisions/steerer.py
@@ -114,6 +114,7 @@
             loads={},
             ages={zone: self._age_s(zone, at) for zone in self.zones},
             flows=flows,
+            assumed=frozenset(self.zones) - self.estimates.keys(),
         )
 
     def _open_shifter(self) -> Shifter:
--- a/src/currantspur/messages/steering.py
+++ b/src/currantspur/messages/steering.py
@@ -59,7 +59,7 @@
 class SteeringView(Message):
     """Hold all inputs of one steering decision."""
 
-    __slots__ = ('ages', 'demands', 'flows', 'loads', 'places')
+    __slots__ = ('ages', 'assumed', 'demands', 'flows', 'loads', 'places')
 
     def __init__(
         self,
@@ -69,8 +69,10 @@
         loads: Mapping[str, float],
         ages: Mapping[str, float],
         flows: Flows,
+        assumed: frozenset[str] | None = None,
     ) -> None:
         """Take demand, load and report age by zone, and the flows so far."""
+        self.assumed = assumed or frozenset()
         self.places = places
         self.demands = demands
         self.loads = loads
--- a/src/currantspur/wire/admin/queries.py
+++ b/src/currantspur/wire/admin/queries.py
@@ -26,6 +26,7 @@
 from currantspur.wire.admin.encoding import encode_head, encode_json
 from currantspur.wire.admin.form import (
     TEXT_LIMIT,
+    WHOLE_LIMIT,
     Field,
     Form,
     check_member,
@@ -39,10 +40,15 @@
 TEXT = Field('text', limit=TEXT_LIMIT)
 FILE = Field('file', default='configuration')
 LIMIT = Field('limit', 'whole', default=HISTORY_LIMIT)
+LATEST_S = 4_102_444_800
+SINCE = Field('since_s', 'whole', default=0)
+UNTIL = Field('until_s', 'whole', default=LATEST_S)
 EXPLAIN_QUERY = (
     Field('subject', default=''),
     Field('team', default=''),
     Field('request_id', default=''),
+    SINCE,
+    UNTIL,
     LIMIT,
 )
 
@@ -184,6 +190,8 @@
                 subject=request.query.get('subject') or None,
                 team=request.query.get('team') or None,
                 request_id=request.query.get('request_id') or None,
+                since_s=read_time(request, SINCE),
+                until_s=read_time(request, UNTIL),
                 limit=max(1, min(limit, HISTORY_LIMIT)),
             )
         )
@@ -248,8 +256,14 @@
     if kind == 'whole' and isinstance(shown, str):
         is_number = shown.isascii() and shown.isdecimal()
         shown = float(shown) if is_number else shown
-        shown = int(shown) if is_number and shown < TEXT_LIMIT else shown
+        shown = int(shown) if is_number and shown <= WHOLE_LIMIT else shown
     problem = check_member(Field(name, kind, limit=TEXT_LIMIT), shown)
     if problem is not None:
         raise RejectedError(malformed(f'{name}: {problem}'))
     return shown
+
+
+def read_time(request: web.Request, field: Field) -> int:
+    """Return Unix seconds of the query; raise RejectedError if wrong."""
+    shown = read_query(request, field.name, field.kind, field.default)
+    return int(shown)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -64,6 +64,8 @@
         ('history', 'reader', 0, 'first'),
         ('blame teams[team-1].rate', 'reader', 0, 'teams[team-1].rate  120'),
         ('explain', 'reader', 0, 'no decision matches'),
+        ('explain --since 2026-01-02T03:04:05', 'reader', 0, 'no decision'),
+        ('explain --until 2026-01-02', 'reader', 0, 'no decision'),
         ('diff good.yaml', 'reader', 1, 'teams[team-9].rate'),
         ('diff missing.yaml', 'reader', 1, ''),
         ('dry-run good.yaml', 'reader', 0, 'team team-9'),
--- a/tests/test_decision_record.py
+++ b/tests/test_decision_record.py
@@ -12,14 +12,27 @@
     ExchangeEnd,
     Head,
     InForce,
+    Instance,
+    Membership,
     Question,
 )
 from currantspur.platform.decisions import decode_decisions
 from currantspur.standins.fleet import Fleet
 from currantspur.standins.health import HealthStandin
 from currantspur.standins.store import MemoryObjectStore
-from currantspur.standins.workloads import ETIQUETA_CLARA, describe_workload
-from currantspur.tasks import HealthTask, Journal, Mailbox
+from currantspur.standins.workloads import (
+    ETIQUETA_CLARA,
+    WORKLOADS,
+    describe_workload,
+    list_zones,
+)
+from currantspur.tasks import (
+    HealthTask,
+    Journal,
+    Letter,
+    Mailbox,
+    SteeringTask,
+)
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.decisions import BACKLOG, DecisionWriter
 from currantspur.wire.health import HttpHealth, decode_report
@@ -183,3 +196,39 @@
 async def aiohttp_address():
     async with AsyncExitStack() as stack:
         yield partial(serve, Fleet(stack))
+
+
+@pytest.mark.parametrize(
+    ('lost', 'moves', 'weight', 'seen'),
+    [
+        (0, False, 1.0, ''),
+        (1, True, 0.9, 'callers are assumed to want 60/s'),
+    ],
+)
+def test_steering_task_records_its_steps(lost, moves, weight, seen):
+    clock = ManualClock()
+    task = SteeringTask(
+        clock=clock, journal=Mailbox(), instance='e1', freshness_s=1.5
+    )
+    head = Head(version=7, sections={}, author='ana', change_id='c')
+    configuration = describe_workload(WORKLOADS['zaytouna'], {})
+    members = tuple(
+        Instance(name=zone, address='', peer='', availability_zone=zone)
+        for zone in list_zones()
+    )
+    learnt = (
+        InForce(head=head, configuration=configuration),
+        Membership(instances=members),
+    )
+    for message in learnt:
+        task.receive([Letter(message)])
+    clock.at += 60
+    task.receive([Letter(Membership(instances=members[lost:]))])
+    recorded = [one.message for one in task.journal.drain()]
+    assert bool(recorded) is moves
+    for one in recorded:
+        assert (one.instance, one.version, one.author) == ('e1', 7, 'ana')
+        assert seen in one.evidence[0].reading
+    answer = task.table.answer(bytes((10, 1, 0, 1)))
+    weights = {entry.instance: entry.weight for entry in answer.entries}
+    assert weights['north-1'] == pytest.approx(weight)
