--- a/src/currantspur/decisions/shift.py
+++ b/src/currantspur/decisions/shift.py
@@ -134,7 +134,7 @@
         yield Evidence(
             name=zone,
             reading=f'{_print_demand(view, zone)}, '
-            f'takes {place.capacity:.0f}/s, healthy {health}, '
+            f'takes {place.capacity:.0f}/s, usable {health}, '
             f'drains leave {place.kept:.0%}',
             age_s=round(view.ages.get(zone, STALE_S), 1),
         )
