--- a/src/currantspur/cli/review.py
+++ b/src/currantspur/cli/review.py
@@ -1,6 +1,8 @@
 """Show what is in force, what would change, and who set what."""
 
 import sys
+from collections.abc import Iterator
+from datetime import UTC, datetime
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -9,6 +11,8 @@
 from currantspur.cli.application import EXIT_FINDINGS, app
 from currantspur.cli.checking import read_proposal
 from currantspur.cli.tables import print_table, print_time
+from currantspur.decisions.explanation import explain as put_in_words
+from currantspur.platform.decisions import decode_decision
 from currantspur.wire.admin_client import AdminClient
 
 MEMBER_COLUMNS = (
@@ -21,6 +25,7 @@
 HISTORY_COLUMNS = ('version', 'time', 'author', 'change_id', 'note')
 BLAME_COLUMNS = ('path', 'setting', 'version', 'time', 'author', 'change_id')
 DIFFERENCE_COLUMNS = ('path', 'before', 'after')
+NOTHING = 'no decision matches'
 EFFECT_COLUMNS = ('mark', 'kind', 'subject', 'share', 'text')
 
 
@@ -66,18 +71,24 @@
     subject: str = '',
     team: str = '',
     request_id: str = '',
+    since: datetime | None = None,
+    until: datetime | None = None,
     limit: int = 50,
 ) -> None:
-    """List automatic decisions with their reasons, the oldest first."""
-    query = {
+    """Put automatic decisions in words, the oldest first."""
+    query: dict[str, Any] = {
         'subject': subject,
         'team': team,
         'request_id': request_id,
         'limit': limit,
     }
+    if since is not None:
+        query['since_s'] = int(since.replace(tzinfo=UTC).timestamp())
+    if until is not None:
+        query['until_s'] = int(until.replace(tzinfo=UTC).timestamp())
     answer = access.run(partial(_get, path='/v1/explain', query=query))
-    lines = [line for one in answer for line in one['words']]
-    access.show(answer, ''.join(f'{line}\n' for line in lines))
+    lines = list(_explain_all(answer)) or [NOTHING]
+    access.show(answer, '\n'.join(lines))
 
 
 @app.command
@@ -117,5 +128,10 @@
     return await client.post(path, body)
 
 
+def _explain_all(answer: list[dict[str, Any]]) -> Iterator[str]:
+    for plain in answer:
+        yield from put_in_words(decode_decision(plain))
+
+
 def _timed(row: dict[str, Any]) -> dict[str, Any]:
     return {**row, 'time': print_time(row['at_s'])}
--- a/src/currantspur/wire/admin/queries.py
+++ b/src/currantspur/wire/admin/queries.py
@@ -6,7 +6,6 @@
 
 from currantspur.decisions.difference import blame, compare
 from currantspur.decisions.drains import name_state
-from currantspur.decisions.explanation import explain
 from currantspur.decisions.forecast import foresee
 from currantspur.errors import RejectedError
 from currantspur.messages import Configuration, Head, Question
@@ -27,6 +26,7 @@
 from currantspur.wire.admin.encoding import encode_head, encode_json
 from currantspur.wire.admin.form import (
     TEXT_LIMIT,
+    WHOLE_LIMIT,
     Field,
     Form,
     check_member,
@@ -40,16 +40,18 @@
 HISTORY_LIMIT = 256
 PAGE_DECISIONS = 50
 PAGE_POLICY = "default-src 'none'; style-src 'unsafe-inline'"
-LATEST_S = 1_000_000_000_000
 TEXT = Field('text', limit=TEXT_LIMIT)
 FILE = Field('file', default='configuration')
 LIMIT = Field('limit', 'whole', default=HISTORY_LIMIT)
+LATEST_S = 4_102_444_800
+SINCE = Field('since_s', 'whole', default=0)
+UNTIL = Field('until_s', 'whole', default=LATEST_S)
 EXPLAIN_QUERY = (
     Field('subject', default=''),
     Field('team', default=''),
     Field('request_id', default=''),
-    Field('since_s', 'number', default=0),
-    Field('until_s', 'number', default=LATEST_S),
+    SINCE,
+    UNTIL,
     LIMIT,
 )
 
@@ -218,17 +220,12 @@
                 subject=request.query.get('subject') or None,
                 team=request.query.get('team') or None,
                 request_id=request.query.get('request_id') or None,
-                since_s=read_query(request, 'since_s', 'number', 0),
-                until_s=read_query(request, 'until_s', 'number', LATEST_S),
+                since_s=read_time(request, SINCE),
+                until_s=read_time(request, UNTIL),
                 limit=max(1, min(limit, HISTORY_LIMIT)),
             )
         )
-        return encode_json(
-            [
-                {**to_plain(decision), 'words': list(explain(decision))}
-                for decision in decisions
-            ]
-        )
+        return encode_json([to_plain(decision) for decision in decisions])
 
     async def show_drains(self, _request: web.Request) -> web.Response:
         """List the drains."""
@@ -292,11 +289,17 @@
 def read_query(request: web.Request, name: str, kind: Any, default: Any) -> Any:
     """Return a member of the query; raise RejectedError if it is wrong."""
     shown: Any = request.query.get(name, default)
-    if kind != 'text' and isinstance(shown, str):
+    if kind == 'whole' and isinstance(shown, str):
         is_number = shown.isascii() and shown.isdecimal()
         shown = float(shown) if is_number else shown
-        shown = int(shown) if is_number and shown < TEXT_LIMIT else shown
+        shown = int(shown) if is_number and shown <= WHOLE_LIMIT else shown
     problem = check_member(Field(name, kind, limit=TEXT_LIMIT), shown)
     if problem is not None:
         raise RejectedError(malformed(f'{name}: {problem}'))
     return shown
+
+
+def read_time(request: web.Request, field: Field) -> int:
+    """Return Unix seconds of the query; raise RejectedError if wrong."""
+    shown = read_query(request, field.name, field.kind, field.default)
+    return int(shown)
