Take the base of a change from diff in the operators' path test

Cause: the fleet of the tests no longer counts versions. Change: the test reads the base version that diff prints, as an operator does.

--- a/tests/test_operators_path.py
+++ b/tests/test_operators_path.py
@@ -80,8 +80,10 @@
     file.write_text(draft.text())
 
     run = partial(run_command, capsys, file)
-    assert (await run('diff FILE'))[0] == 1
-    code, _ = await run(f'apply FILE --base {fleet.version} --wait')
+    code, printed = await run('diff FILE')
+    assert code == 1
+    base = printed.out.split()[2]
+    code, _ = await run(f'apply FILE --base {base} --wait')
     assert code == 0
     code, printed = await run('keys issue export --wait')
     assert code == 0
