Keep the majority of committers out of any one region

Cause: seats were spread over zones only; with four zones a region a majority could sit in one region and go with it. Change: seats go by region, then zone, at most two of five where there are three regions; held seats are kept within that bound. Conclusion: the loss of a region leaves a majority.

--- a/src/currantspur/decisions/committers.py
+++ b/src/currantspur/decisions/committers.py
@@ -1,7 +1,6 @@
 """Decide who may vouch for a version and what a majority proves."""
 
-from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 from currantspur.decisions.relays import rank_instances
 from currantspur.messages import (
@@ -13,6 +12,8 @@
 
 # The largest odd set that a fleet of that many live instances can fill.
 SET_SIZES = (5, 3, 1)
+# With fewer regions, one of them must hold a majority.
+FEWEST_REGIONS = 3
 
 
 class Witness:
@@ -94,32 +95,57 @@
 
 
 def choose_committers(
-    held: Mapping[str, str], instances: Iterable[Instance]
+    held: Mapping[str, str],
+    instances: Iterable[Instance],
+    regions: Mapping[str, str],
 ) -> dict[str, str]:
-    """Return a set spread over zones that keeps the live ones it held."""
+    """Return a set that keeps the live ones and no majority in a region."""
     live = [one for one in instances if one.state == 'live']
-    size = next((size for size in SET_SIZES if size <= len(live)), 0)
-    kept = [one for one in live if held.get(one.name) == one.peer]
-    chosen = _spread(kept, [], size)
-    chosen = _spread(live, chosen, size)
-    return {one.name: one.peer for one in chosen}
-
-
-def _spread(
-    candidates: Iterable[Instance], chosen: list[Instance], size: int
-) -> list[Instance]:
-    taken = list(chosen)
-    left = [
-        one
-        for one in rank_instances(candidates, 'committer')
-        if one not in taken
-    ]
-    while left and len(taken) < size:
-        crowd = Counter(one.availability_zone for one in taken)
-        emptiest = min(crowd[one.availability_zone] for one in left)
-        found = next(
-            one for one in left if crowd[one.availability_zone] == emptiest
+    seats = Seats(live, regions)
+    seats.keep(one for one in live if held.get(one.name) == one.peer)
+    seats.fill(live)
+    return {one.name: one.peer for one in seats.taken}
+
+
+class Seats:
+    """Seat committers by region, then by availability zone."""
+
+    __slots__ = ('most', 'regions', 'size', 'taken')
+
+    def __init__(
+        self, live: Sequence[Instance], regions: Mapping[str, str]
+    ) -> None:
+        """Take the region of each zone; an unknown zone is its own region."""
+        self.regions = regions
+        self.taken: list[Instance] = []
+        self.size = next((size for size in SET_SIZES if size <= len(live)), 0)
+        self.most = self.size
+        if len({self._region(one) for one in live}) >= FEWEST_REGIONS:
+            self.most = max(1, self.size // 2)
+
+    def keep(self, held: Iterable[Instance]) -> None:
+        """Seat those that held a seat before, up to the most of a region."""
+        for one in rank_instances(held, 'committer'):
+            if len(self.taken) < self.size and self._crowd(one)[0] < self.most:
+                self.taken.append(one)
+
+    def fill(self, live: Iterable[Instance]) -> None:
+        """Seat others where the fewest sit."""
+        left = rank_instances(live, 'committer')
+        left = [one for one in left if one not in self.taken]
+        while left and len(self.taken) < self.size:
+            emptiest = min(left, key=self._crowd)
+            left.remove(emptiest)
+            self.taken.append(emptiest)
+
+    def _region(self, one: Instance) -> str:
+        zone = one.availability_zone
+        return self.regions.get(zone, zone)
+
+    def _crowd(self, one: Instance) -> tuple[int, int]:
+        zones = [other.availability_zone for other in self.taken]
+        regions = [self._region(other) for other in self.taken]
+        return (
+            regions.count(self._region(one)),
+            zones.count(one.availability_zone),
         )
-        left.remove(found)
-        taken.append(found)
-    return taken
--- a/src/currantspur/messages/configuration.py
+++ b/src/currantspur/messages/configuration.py
@@ -236,3 +236,11 @@
         self.sites = sites
         self.operators = operators
         self.steering = steering or Steering()
+
+    def region_by_zone(self) -> dict[str, str]:
+        """Return the region of each availability zone."""
+        return {
+            zone: region.name
+            for region in self.regions
+            for zone in region.availability_zones
+        }
--- a/src/currantspur/tasks/committee.py
+++ b/src/currantspur/tasks/committee.py
@@ -34,6 +34,7 @@
         'mailbox',
         'members',
         'name',
+        'regions',
     )
 
     def __init__(
@@ -46,6 +47,7 @@
         self.head: Head | None = None
         self.members: tuple[Instance, ...] = ()
         self.differs_since: float | None = None
+        self.regions: dict[str, str] = {}
 
     async def run(self) -> None:
         """Check until cancelled."""
@@ -59,12 +61,13 @@
         """Note the version in force and the members; neither is urgent."""
         if isinstance(message, InForce):
             self.head = message.head
+            self.regions = message.configuration.region_by_zone()
         elif isinstance(message, Membership):
             self.members = message.instances
         return False
 
     def _is_due(self, head: Head) -> bool:
-        wanted = choose_committers(head.committers, self.members)
+        wanted = choose_committers(head.committers, self.members, self.regions)
         if not head.committers or wanted == head.committers:
             self.differs_since = None
             return False
--- a/src/currantspur/tasks/committer.py
+++ b/src/currantspur/tasks/committer.py
@@ -1,7 +1,7 @@
 """Commit changes as the next version."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from contextlib import aclosing
 
 from currantspur.decisions.committers import (
@@ -25,12 +25,14 @@
 )
 from currantspur.platform import Platform, publish_sections
 from currantspur.platform.versions import (
+    CONFIGURATION_SECTION,
     Draft,
     draft_head,
     name_committer,
     send_draft,
     store_sections,
 )
+from currantspur.settings import read_configuration
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.mailbox import Mailbox
 from currantspur.tasks.quorum import Quorum
@@ -67,7 +69,14 @@
 class QuorumCommitter(Committer):
     """Announce each write to a majority of committers before it is sent."""
 
-    __slots__ = ('clock', 'list_members', 'notices', 'platform', 'quorum')
+    __slots__ = (
+        'clock',
+        'list_members',
+        'list_regions',
+        'notices',
+        'platform',
+        'quorum',
+    )
 
     def __init__(
         self,
@@ -76,6 +85,7 @@
         quorum: Quorum,
         clock: Clock,
         list_members: ListMembers,
+        list_regions: Callable[[], Mapping[str, str]],
         notices: Mailbox,
     ) -> None:
         """Take who knows the members and who spreads new versions."""
@@ -83,6 +93,7 @@
         self.quorum = quorum
         self.clock = clock
         self.list_members = list_members
+        self.list_regions = list_regions
         self.notices = notices
 
     async def commit(self, change: Change) -> Head:
@@ -106,7 +117,9 @@
         if draft.is_landed:
             return self._announce(draft.head)
         members = await self.list_members()
-        draft.head.committers = choose_committers(draft.needed, members)
+        draft.head.committers = choose_committers(
+            draft.needed, members, self._read_regions(draft, change)
+        )
         conditions = await self._gather(draft, change)
         try:
             head = await send_draft(self.platform, draft, conditions)
@@ -114,6 +127,12 @@
             raise OutcomeUnknownError('the store gave no answer') from error
         return self._announce(head)
 
+    def _read_regions(self, draft: Draft, change: Change) -> Mapping[str, str]:
+        body = change.sections.get(CONFIGURATION_SECTION)
+        if draft.needed or body is None:
+            return self.list_regions()
+        return read_configuration(body.decode()).region_by_zone()
+
     async def _gather(self, draft: Draft, change: Change) -> dict[str, int]:
         intent = WriteIntent(
             writer=self.quorum.name,
--- a/src/currantspur/tasks/control.py
+++ b/src/currantspur/tasks/control.py
@@ -154,6 +154,10 @@
         answer: MembersAnswer = await self.membership.mailbox.ask(question)
         return answer.instances
 
+    def list_regions(self) -> dict[str, str]:
+        """Return the region of each availability zone in force."""
+        return self.follower.configuration.region_by_zone()
+
     def _mailboxes(self) -> Iterator[Mailbox]:
         yield self.relay.mailbox
         yield self.follower.mailbox
@@ -201,6 +205,7 @@
             quorum=self.quorum,
             clock=self.clock,
             list_members=self.list_members,
+            list_regions=self.list_regions,
             notices=self.notifier.mailbox,
         )
 
