Pass every ending of a claimed request on

Cause: an error other than a target's (a full mailbox) ended the request's own task and left its caller waiting.

Change: whatever ends it is raised for the caller; tables of endings, of callers that leave, and of a cut.

--- a/src/currantspur/tasks/completion.py
+++ b/src/currantspur/tasks/completion.py
@@ -4,10 +4,9 @@
 from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 
-from currantspur.errors import TargetError
 from currantspur.tasks.attempts import Part
 
-Ending = TargetError | None
+Ending = Exception | None
 
 
 class Pump:
@@ -27,7 +26,8 @@
             async with aclosing(self.parts) as parts:
                 async for part in parts:
                     await self._put(part)
-        except TargetError as error:
+        except Exception as error:
+            # Whatever it is, the caller must not wait for ever.
             ending = error
         await self._put(ending)
 
@@ -37,7 +37,7 @@
             part = await self.queue.get()
             if part is None:
                 return
-            if isinstance(part, TargetError):
+            if isinstance(part, Exception):
                 raise part
             yield part
 
