Leave in bounded time while the platform is away

Cause: a leaving instance tried to announce until leave_s and then cut what ran.

Change: after 10 s it goes on: it stops listening, so that callers are refused unrun, and waits for what runs. A table of departures on a virtual clock.

--- a/src/currantspur/departure.py
+++ b/src/currantspur/departure.py
@@ -11,6 +11,7 @@
 
 ANYWHERE = bytes(4)
 ANNOUNCE_RETRY_S = 0.5
+ANNOUNCE_LIMIT_S = 10.0
 MARGIN_S = 0.5
 STEP_S = 0.05
 QUIET_STEPS = 3
@@ -53,7 +54,8 @@
         await self.claims.ask(ClaimFlush())
 
     async def _announce(self) -> None:
-        while True:
+        until = self.clock.now() + ANNOUNCE_LIMIT_S
+        while self.clock.now() < until:
             try:
                 await self.reader.leave()
             except PlatformError as error:
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -53,7 +53,8 @@
     async with open_site(targets=1, slots=1) as site:
         state = site.entries[0].admission.state
         ring, proven_at = state.keys, state.freshness.proven_at
-        first = asyncio.create_task(site.call('/read', fault='slow', key='a'))
+        site.targets[0].delay_s = 0.4
+        first = asyncio.create_task(site.call('/read', key='a'))
         await asyncio.sleep(0.1)
         second = asyncio.create_task(site.call(path, method='POST', key='k'))
         await asyncio.sleep(0.1)
@@ -62,6 +63,7 @@
         else:
             state.freshness.proven_at = float('-inf')
         await first
+        site.targets[0].delay_s = 0
         _, body = await second
         error = orjson.loads(body)['error']
         assert (error['code'], error['not_run']) == (code, True)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -4,14 +4,18 @@
 import aiohttp
 import pytest
 
+from currantspur.departure import Departure
+from currantspur.errors import PlatformAwayError
 from currantspur.messages import (
     Configuration,
+    LookupAnswer,
     Region,
     Route,
     Steering,
     Target,
 )
 from currantspur.standins.fleet import Fleet
+from currantspur.tasks import Clock, Mailbox
 
 CALLERS = 40
 CACHE_S = 0.5
@@ -119,3 +123,93 @@
         await asyncio.wait_for(leaving, 10)
         assert daemon.control.instance.state == 'leaving'
         hurried.cancel()
+
+
+class QuickClock(Clock):
+    __slots__ = ('at',)
+
+    def __init__(self):
+        self.at = 0.0
+
+    def now(self):
+        return self.at
+
+    def unix(self):
+        return self.at
+
+    async def sleep(self, seconds):
+        self.at += seconds
+        await asyncio.sleep(0)
+
+
+class FakeReader:
+    lag_s = 4.0
+
+    def __init__(self, failures):
+        self.failures = failures
+
+    async def leave(self):
+        if self.failures:
+            self.failures -= 1
+            raise PlatformAwayError('away')
+
+
+class FakeListener:
+    is_leaving = False
+
+    def __init__(self, busy_steps):
+        self.busy_steps = busy_steps
+
+    @property
+    def is_busy(self):
+        self.busy_steps -= 1
+        return self.busy_steps >= 0
+
+
+class FakeSite:
+    def __init__(self):
+        self.is_stopped = False
+
+    async def stop(self):
+        self.is_stopped = True
+
+
+class FakeRunner:
+    def __init__(self):
+        self.sites = {FakeSite()}
+
+
+async def answer(mailbox, message):
+    for letter in await mailbox.take():
+        letter.answer(message)
+
+
+@pytest.mark.parametrize(
+    ('failures', 'busy_steps', 'least_s', 'most_s'),
+    [
+        (0, 0, 6.5, 7.5),
+        (3, 0, 8.0, 9.0),
+        (999, 0, 16.5, 17.5),
+        (0, 40, 8.5, 9.5),
+    ],
+)
+async def test_what_a_departure_waits_for(
+    failures, busy_steps, least_s, most_s
+):
+    clock = QuickClock()
+    steering, claims = Mailbox(), Mailbox()
+    departure = Departure(
+        reader=FakeReader(failures),
+        steering=steering,
+        listener=FakeListener(busy_steps),
+        claims=claims,
+        clock=clock,
+    )
+    runner = FakeRunner()
+    found = LookupAnswer(entries=(), cache_s=2.0, site=None)
+    await asyncio.gather(
+        departure.run(runner), answer(steering, found), answer(claims, None)
+    )
+    assert {site.is_stopped for site in runner.sites} == {True}
+    assert departure.listener.is_leaving
+    assert least_s <= clock.at <= most_s
