Split limits by a plan, grow parts late, lend between instances

Cause: team rates were divided by the number of live instances, so that two instances which saw different members together held more than the total.

Change: a planner commits how every limit is split as a section of the version; an allotment task gives the smallest part of all versions that a fresh peer may still run; a bucket earns nothing between the end of a proof and the version that ended it; peers lend by deducting, and a loan lowers the lender's burst until it has lapsed. Requests wait briefly for a loan, one message for all of them. Region intake is spent where a request enters.

--- a/bench/pure.py
+++ b/bench/pure.py
@@ -6,11 +6,11 @@
 from functools import partial
 
 from bench.case import Case, Figure
-from currantspur.decisions.bucket import Bucket
+from currantspur.decisions.allowance import Allowance
 from currantspur.decisions.freshness import Freshness
 from currantspur.decisions.identity import KeyRing, mint_key
 from currantspur.decisions.routing import RouteTable
-from currantspur.messages import Arrival, Proof, Route, name_team_limit
+from currantspur.messages import Arrival, Part, Proof, Route, name_team_limit
 from currantspur.pipelines import AdmissionState, Pipeline, assemble_admission
 
 TEAMS = 64
@@ -80,9 +80,10 @@
     )
     minted = [mint_key(f'team-{number}') for number in range(TEAMS)]
     state.keys = KeyRing(kept for _, kept in minted)
-    state.buckets = {
-        name_team_limit(kept.team): Bucket(
-            rate=0, burst=FOREVER, at=1.0, level=FOREVER
+    state.holdings.version = 1
+    state.holdings.allowances = {
+        name_team_limit(kept.team): Allowance(
+            Part(rate=0, burst=FOREVER), at=1.0, level=FOREVER
         )
         for _, kept in minted
     }
--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -17,9 +17,9 @@
     ClaimTask,
     Clock,
     Control,
-    EqualShares,
     Exchange,
     Journal,
+    Limits,
     Mailbox,
     SteeringTask,
     SystemClock,
@@ -48,13 +48,13 @@
         'control',
         'jobs',
         'journal',
+        'limits',
         'metrics',
         'peer_server',
         'peers',
         'pool',
         'runners',
         'settings',
-        'shares',
         'steering',
         'targets',
         'tracer',
@@ -75,7 +75,10 @@
         self.targets = HttpTargets()
         self.peers = GrpcPeers()
         self.admission = AdmissionTask(
-            clock=self.clock, freshness_s=settings.freshness_s
+            clock=self.clock,
+            freshness_s=settings.freshness_s,
+            instance=settings.instance,
+            availability_zone=settings.availability_zone,
         )
         self.journal = Journal()
         self.pool = TargetPool(
@@ -85,11 +88,20 @@
             journal=self.journal.mailbox,
         )
         self.steering = SteeringTask()
-        self.shares = EqualShares(admission=self.admission.mailbox)
+        self.limits = Limits(
+            instance=settings.instance,
+            clock=self.clock,
+            freshness_s=settings.freshness_s,
+            admission=self.admission,
+            pool=self.pool,
+            peers=self.peers,
+            journal=self.journal.mailbox,
+        )
         self.administration = AdministrationTask(
             clock=self.clock, trusted=settings.operators
         )
         self.control = self._open_control()
+        self.limits.planner.committer = self.control.committer
         self.claims = ClaimTask(
             platform=self.control.platform, clock=self.clock
         )
@@ -158,14 +170,17 @@
         self.jobs.append(asyncio.create_task(work))
 
     def _peer_mailboxes(self) -> dict[type[Message], Mailbox]:
-        return self.control.questions()
+        return {
+            **self.control.questions(),
+            **self.limits.questions(),
+        }
 
     def _tasks(self) -> Iterator[Task]:
         yield self.admission
         yield self.pool
         yield self.steering
         yield self.journal
-        yield self.shares
+        yield from self.limits.tasks()
         yield self.claims
         yield self.administration
 
@@ -181,7 +196,6 @@
             self.admission,
             self.pool,
             self.steering,
-            self.shares,
             self.administration,
         )
         return Control(
@@ -191,7 +205,11 @@
             clock=self.clock,
             poll_s=settings.poll_s,
             journal=self.journal.mailbox,
-            readers=[task.mailbox for task in tasks],
+            # Parts come before the version that they belong to is used.
+            readers=[
+                *self.limits.readers(),
+                *(task.mailbox for task in tasks),
+            ],
             seeds=map(_name_seed, settings.seeds),
         )
 
--- /dev/null
+++ b/src/currantspur/decisions/demand.py
@@ -0,0 +1,54 @@
+"""Measure demand as rates that forget."""
+
+from math import exp
+
+from currantspur.messages import Message
+
+SMALLEST_RATE = 0.01
+
+
+class _Rate(Message):
+    """Keep an exponentially decayed count."""
+
+    __slots__ = ('at', 'count')
+
+    def __init__(self, at: float) -> None:
+        self.at = at
+        self.count = 0.0
+
+
+class DemandMeter:
+    """Count what is wanted of each limit over about a time."""
+
+    __slots__ = ('memory_s', 'rates')
+
+    def __init__(self, *, memory_s: float) -> None:
+        self.memory_s = memory_s
+        self.rates: dict[str, _Rate] = {}
+
+    def add(self, limit: str, at: float, tokens: float = 1.0) -> None:
+        """Count tokens that were wanted."""
+        rate = self.rates.setdefault(limit, _Rate(at))
+        rate.count = self._decay(rate, at) + tokens
+        rate.at = max(rate.at, at)
+
+    def read(self, limit: str, at: float) -> float:
+        """Return the tokens wanted a second."""
+        rate = self.rates.get(limit)
+        return self._decay(rate, at) / self.memory_s if rate else 0.0
+
+    def list_rates(self, at: float) -> dict[str, float]:
+        """Return the rate of each limit and forget the idle ones."""
+        found = {limit: self.read(limit, at) for limit in self.rates}
+        for limit, rate in found.items():
+            if rate < SMALLEST_RATE:
+                self.rates.pop(limit)
+        return {
+            limit: round(rate, 2)
+            for limit, rate in found.items()
+            if rate >= SMALLEST_RATE
+        }
+
+    def _decay(self, rate: _Rate, at: float) -> float:
+        passed = max(0.0, at - rate.at)
+        return rate.count * exp(-passed / self.memory_s)
--- a/src/currantspur/decisions/slots.py
+++ b/src/currantspur/decisions/slots.py
@@ -50,14 +50,14 @@
             self.by_service.setdefault(target.service, []).append(target)
         self.checked_at = float('-inf')
 
-    def allot(self, by_limit: dict[str, Part]) -> None:
+    def allot(self, by_limit: dict[str, Part], *, version: int = 0) -> None:
         """Take this instance's parts of the slots, once any are planned."""
         parts = {
             limit.removeprefix(SLOTS_PREFIX): int(part.burst)
             for limit, part in by_limit.items()
             if limit.startswith(SLOTS_PREFIX)
         }
-        if parts or self.parts is not None:
+        if parts or version or self.parts is not None:
             self.parts = parts
 
     def take(
--- a/src/currantspur/pipelines/__init__.py
+++ b/src/currantspur/pipelines/__init__.py
@@ -1,6 +1,10 @@
 """Join filters into the pipelines that each stream of messages runs through."""
 
-from currantspur.pipelines.admission import AdmissionState, assemble_admission
+from currantspur.pipelines.admission import (
+    AdmissionState,
+    assemble_admission,
+    assemble_spending,
+)
 from currantspur.pipelines.confirmation import assemble_confirmation
 from currantspur.pipelines.filter import Filter, Gate, Pipeline
 from currantspur.pipelines.lookup import assemble_lookup
@@ -13,4 +17,5 @@
     'assemble_admission',
     'assemble_confirmation',
     'assemble_lookup',
+    'assemble_spending',
 )
--- a/src/currantspur/pipelines/admission.py
+++ b/src/currantspur/pipelines/admission.py
@@ -1,26 +1,51 @@
-"""Admit requests: route, deadline, freshness, team by key, rate."""
+"""Admit requests: route, deadline, freshness, team by key, limits."""
 
 from collections.abc import Iterable, Iterator
 
-from currantspur.decisions.bucket import Bucket
+from currantspur.decisions.demand import DemandMeter
 from currantspur.decisions.freshness import Freshness
+from currantspur.decisions.holdings import Holdings
 from currantspur.decisions.identity import KeyRing
 from currantspur.decisions.routing import RouteTable
-from currantspur.messages import Arrival, Passage, Refusal, name_team_limit
+from currantspur.messages import (
+    Arrival,
+    Passage,
+    Refusal,
+    name_region_limit,
+    name_team_limit,
+)
 from currantspur.pipelines.filter import Filter, Gate, Pipeline
 
+DEMAND_MEMORY_S = 10.0
+
 
 class AdmissionState:
     """Hold what the admission filters read; one task owns it."""
 
-    __slots__ = ('buckets', 'freshness', 'keys', 'routes', 'version')
+    __slots__ = (
+        'demand',
+        'freshness',
+        'holdings',
+        'keys',
+        'region',
+        'routes',
+        'version',
+    )
 
     def __init__(self, *, freshness: Freshness) -> None:
         self.version = 0
         self.freshness = freshness
         self.routes = RouteTable(())
         self.keys = KeyRing(())
-        self.buckets: dict[str, Bucket] = {}
+        self.region: str | None = None
+        self.holdings = Holdings()
+        self.demand = DemandMeter(memory_s=DEMAND_MEMORY_S)
+
+    def is_current(self, at: float) -> bool:
+        """Tell whether keys and parts are proven to be the newest."""
+        return self.holdings.version >= self.version and (
+            self.freshness.is_fresh(at, version=self.version)
+        )
 
 
 class Receive(Filter[Arrival, Passage]):
@@ -68,7 +93,7 @@
         state = self.state
         if passage.route is None or passage.route.access == 'open':
             return None
-        if state.freshness.is_fresh(passage.arrival.at, version=state.version):
+        if state.is_current(passage.arrival.at):
             return None
         return Refusal(
             code='not_fresh',
@@ -104,8 +129,29 @@
         return None
 
 
-class SpendRate(Gate):
-    """Spend a token of this instance's part of the team's rate."""
+class CountDemand(Filter[Passage, Passage]):
+    """Count what is wanted of each limit, refused or not."""
+
+    __slots__ = ('state',)
+
+    def __init__(self, state: AdmissionState) -> None:
+        self.state = state
+
+    def run(self, stream: Iterable[Passage]) -> Iterator[Passage]:
+        """Yield every passage, counted if it was not refused before."""
+        for passage in stream:
+            if passage.refusal is None:
+                self.count(passage)
+            yield passage
+
+    def count(self, passage: Passage) -> None:
+        """Count one request for each of its limits."""
+        for limit in list_limits_of(self.state, passage):
+            self.state.demand.add(limit, passage.arrival.at)
+
+
+class SpendLimits(Gate):
+    """Spend a token of this instance's part of each limit, or of none."""
 
     __slots__ = ('state',)
 
@@ -113,17 +159,34 @@
         self.state = state
 
     def judge(self, passage: Passage) -> Refusal | None:
-        """Refuse when the part is used up."""
-        if passage.team is None:
-            return None
-        bucket = self.state.buckets.get(name_team_limit(passage.team))
-        if bucket is not None and bucket.spend(passage.arrival.at):
-            return None
-        return Refusal(
-            code='rate_exceeded',
-            detail='the rate of the team is used up',
-            retry_after_s=bucket.wait_s() if bucket else None,
-        )
+        """Refuse when a part is used up."""
+        holdings = self.state.holdings
+        at = passage.arrival.at
+        limits = list_limits_of(self.state, passage)
+        for limit in limits:
+            if holdings.count(limit, at) < 1:
+                return _refuse(passage, limit, holdings.wait_s(limit))
+        for limit in limits:
+            holdings.spend(limit, at)
+        return None
+
+
+def list_limits_of(state: AdmissionState, passage: Passage) -> list[str]:
+    """Return the limits that a request spends of, its team's first."""
+    limits = []
+    if passage.team is not None:
+        limits.append(name_team_limit(passage.team))
+    if state.region is not None:
+        limits.append(name_region_limit(state.region))
+    return limits
+
+
+def find_short_limit(state: AdmissionState, passage: Passage) -> str | None:
+    """Return the limit for which a request was refused."""
+    code = passage.refusal.code if passage.refusal else None
+    limits = list_limits_of(state, passage)
+    short = {'rate_exceeded': limits[:1], 'region_full': limits[-1:]}
+    return next(iter(short.get(code or '', ())), None)
 
 
 def assemble_admission(state: AdmissionState) -> Pipeline:
@@ -133,5 +196,25 @@
         MatchRoute(state),
         ProveFreshness(state),
         IdentifyTeam(state),
-        SpendRate(state),
+        CountDemand(state),
+        SpendLimits(state),
+    )
+
+
+def assemble_spending(state: AdmissionState) -> Pipeline:
+    """Join the filters that a request passes again after it waited."""
+    return Pipeline(ProveFreshness(state), SpendLimits(state))
+
+
+def _refuse(passage: Passage, limit: str, wait_s: float | None) -> Refusal:
+    if passage.team is not None and limit == name_team_limit(passage.team):
+        return Refusal(
+            code='rate_exceeded',
+            detail='the rate of the team is used up',
+            retry_after_s=wait_s,
+        )
+    return Refusal(
+        code='region_full',
+        detail='the region takes no more requests now',
+        retry_after_s=wait_s,
     )
--- a/src/currantspur/standins/fleet.py
+++ b/src/currantspur/standins/fleet.py
@@ -2,13 +2,15 @@
 
 import asyncio
 from contextlib import AsyncExitStack
+from uuid import uuid4
 
 from aiohttp import web
 
 from currantspur.daemon import Daemon
-from currantspur.messages import Configuration
-from currantspur.platform import Platform, publish
-from currantspur.settings import DaemonSettings
+from currantspur.messages import Change, Configuration
+from currantspur.platform import Platform
+from currantspur.platform.versions import CONFIGURATION_SECTION
+from currantspur.settings import DaemonSettings, print_configuration
 from currantspur.standins.platform import PlatformStandin
 from currantspur.standins.store import open_memory_platform
 from currantspur.standins.target import TargetStandin
@@ -75,12 +77,18 @@
 
     async def apply(self, configuration: Configuration) -> None:
         """Publish a configuration and wait until it is in force."""
-        head = await publish(
-            self.platform,
-            configuration,
-            author='demo',
-            change_id=f'demo-{self.version}',
-            base_version=self.version,
+        control = self.daemons[0].control
+        head = await control.committer.commit(
+            Change(
+                change_id=uuid4().hex,
+                base_version=control.follower.version,
+                sections={
+                    CONFIGURATION_SECTION: print_configuration(
+                        configuration
+                    ).encode()
+                },
+                author='demo',
+            )
         )
         self.version = head.version
         await asyncio.sleep(SETTLE_S)
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -15,9 +15,9 @@
 from currantspur.tasks.control import Control
 from currantspur.tasks.exchange import Exchange
 from currantspur.tasks.journal import Journal
+from currantspur.tasks.limits import Limits
 from currantspur.tasks.mailbox import Letter, Mailbox
 from currantspur.tasks.peers import PeerPort
-from currantspur.tasks.shares import EqualShares
 from currantspur.tasks.steering import SteeringTask
 from currantspur.tasks.targets import TargetPool
 from currantspur.tasks.task import Task
@@ -33,10 +33,10 @@
     'Committer',
     'Control',
     'DirectCommitter',
-    'EqualShares',
     'Exchange',
     'Journal',
     'Letter',
+    'Limits',
     'Mailbox',
     'PeerPort',
     'QuorumCommitter',
--- a/src/currantspur/tasks/targets.py
+++ b/src/currantspur/tasks/targets.py
@@ -89,7 +89,7 @@
         if isinstance(message, InForce):
             self._apply(message.configuration)
         elif isinstance(message, Parts):
-            self.table.allot(message.by_limit)
+            self.table.allot(message.by_limit, version=message.version)
         elif isinstance(message, Expiry):
             self.alarm_at = float('inf')
             self._expire()
--- a/tests/carrying.py
+++ b/tests/carrying.py
@@ -58,7 +58,9 @@
         self.admission.mailbox.post(
             Proof(version=VERSION, proven_at=self.clock.now())
         )
-        self.admission.mailbox.post(Parts(by_limit={'team/team-1': part}))
+        self.admission.mailbox.post(
+            Parts(by_limit={'team/team-1': part}, version=VERSION)
+        )
 
     def application(self):
         attempts = Attempts(
--- a/tests/control_fleet.py
+++ b/tests/control_fleet.py
@@ -8,7 +8,10 @@
     Arrival,
     Change,
     Configuration,
+    InForce,
     Instance,
+    Part,
+    Parts,
     Route,
     Team,
 )
@@ -21,7 +24,7 @@
     MemoryObjectStore,
     MemoryTable,
 )
-from currantspur.tasks import AdmissionTask, Control, EqualShares, Journal
+from currantspur.tasks import AdmissionTask, Control, Journal, Task
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.peers import PeerPort
 from currantspur.wire.peer_codec import decode, encode
@@ -126,6 +129,23 @@
         return decode(type(answer), encode(answer))
 
 
+class FixedShares(Task):
+    """Give admission a part that never runs out, with each version."""
+
+    def __init__(self, *, admission) -> None:
+        super().__init__()
+        self.admission = admission
+
+    def receive(self, letters):
+        part = Part(rate=1e6, burst=1e6)
+        for letter in letters:
+            if isinstance(letter.message, InForce):
+                version = letter.message.head.version
+                self.admission.post(
+                    Parts(by_limit={'team/team-1': part}, version=version)
+                )
+
+
 class Node:
     """Run one instance: its control tasks and its admission."""
 
@@ -140,7 +160,7 @@
             availability_zone=zone,
         )
         self.admission = AdmissionTask(clock=self.clock, freshness_s=FRESH_S)
-        shares = EqualShares(admission=self.admission.mailbox)
+        shares = FixedShares(admission=self.admission.mailbox)
         journal = Journal()
         self.control = Control(
             platform=wrap_platform(
@@ -151,7 +171,7 @@
             clock=self.clock,
             poll_s=POLL_S,
             journal=journal.mailbox,
-            readers=[self.admission.mailbox, shares.mailbox],
+            readers=[shares.mailbox, self.admission.mailbox],
             seeds=fleet.seeds,
         )
         works = [task.run() for task in (self.admission, shares, journal)]
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,10 +1,10 @@
 import pytest
 
-from currantspur.decisions.bucket import Bucket
+from currantspur.decisions.allowance import Allowance
 from currantspur.decisions.freshness import Freshness
 from currantspur.decisions.identity import KeyRing, mint_key
 from currantspur.decisions.routing import RouteTable
-from currantspur.messages import Arrival, Proof, Route
+from currantspur.messages import Arrival, Part, Proof, Route
 from currantspur.pipelines import AdmissionState, assemble_admission
 
 FRESH_S = 1.5
@@ -23,8 +23,9 @@
             Route(prefix='/wording', service='wording', access='open'),
         ]
     )
-    state.buckets = {
-        'team/team-1': Bucket(rate=0, burst=1, at=10, level=level),
+    state.holdings.version = 3
+    state.holdings.allowances = {
+        'team/team-1': Allowance(Part(rate=0, burst=1), at=10, level=level),
     }
     return state
 
