--- a/src/currantspur/decisions/allowance.py
+++ b/src/currantspur/decisions/allowance.py
@@ -26,10 +26,11 @@
     a level that refilled while they are unspent would add them once more.
     """
 
-    __slots__ = ('borrowed', 'bucket', 'lent', 'part')
+    __slots__ = ('borrowed', 'bucket', 'earns_until', 'lent', 'part')
 
     def __init__(self, part: Part, *, at: float, level: float = 0.0) -> None:
         self.part = part
+        self.earns_until = float('inf')
         self.bucket = Bucket(
             rate=part.rate, burst=part.burst, at=at, level=level
         )
@@ -42,8 +43,9 @@
         self.refill(at)
 
     def refill(self, at: float) -> None:
-        """Add the tokens of the time that passed and drop what lapsed."""
-        self.bucket.refill(at)
+        """Add the tokens of the time that may earn; drop what lapsed."""
+        earned_at = min(at, self.earns_until)
+        self.bucket.refill(earned_at)
         self.lent = [loan for loan in self.lent if loan.until >= at]
         self.borrowed = [
             loan
@@ -51,7 +53,7 @@
             if loan.until >= at and loan.tokens > 0
         ]
         burst = max(0.0, self.part.burst - self.count_lent())
-        self.bucket.resize(rate=self.part.rate, burst=burst, at=at)
+        self.bucket.resize(rate=self.part.rate, burst=burst, at=earned_at)
 
     def freeze(self, until: float, at: float) -> None:
         """Refill for the time up to one moment only, not to the present."""
--- a/src/currantspur/decisions/apportioning.py
+++ b/src/currantspur/decisions/apportioning.py
@@ -34,7 +34,7 @@
 ) -> None:
     """Take what is too much from those furthest above their ideal."""
     for name in _order(counts, ideals, reverse=True):
-        taken = max(0, min(excess, counts[name]))
+        taken = max(0, min(excess, counts[name] - floor(ideals[name])))
         counts[name] -= taken
         excess -= taken
 
--- a/src/currantspur/decisions/borrowing.py
+++ b/src/currantspur/decisions/borrowing.py
@@ -25,6 +25,7 @@
     """Keep one request under way for each limit and few in a second."""
 
     __slots__ = (
+        'asked_at',
         'asks',
         'budget',
         'empty_until',
@@ -41,6 +42,7 @@
         self.serial = 0
         self.asks: dict[str, _Ask] = {}
         self.lenders: dict[str, Sequence[str]] = {}
+        self.asked_at: dict[tuple[str, str], float] = {}
         self.empty_until: dict[tuple[str, str], float] = {}
         self.budget = Bucket(
             rate=ASKS_PER_S, burst=ASKS_AT_ONCE, at=at, level=ASKS_AT_ONCE
@@ -50,6 +52,7 @@
         """Take the peers that hold parts of each limit, best first."""
         self.lenders = dict(lenders)
         self.empty_until.clear()
+        self.asked_at.clear()
 
     def is_waiting(self, limit: str) -> bool:
         """Tell whether a request for a limit is under way."""
@@ -71,6 +74,7 @@
             return None
         self.serial += 1
         loan_id = f'{self.instance}/{self.incarnation}/{self.serial}'
+        self.asked_at[limit, lender] = at
         self.asks[loan_id] = _Ask(limit=limit, lender=lender, asked_at=at)
         request = LoanRequest(
             asker=self.instance,
@@ -98,7 +102,15 @@
         return None
 
     def _choose(self, limit: str, at: float) -> str | None:
-        for lender in self.lenders.get(limit, ()):
-            if self.empty_until.get((limit, lender), at) <= at:
-                return lender
-        return None
+        """Return the lender asked longest ago that may have tokens."""
+        able = [
+            lender
+            for lender in self.lenders.get(limit, ())
+            if self.empty_until.get((limit, lender), at) <= at
+        ]
+        never = float('-inf')
+        return min(
+            able,
+            key=lambda lender: self.asked_at.get((limit, lender), never),
+            default=None,
+        )
--- a/src/currantspur/decisions/holdings.py
+++ b/src/currantspur/decisions/holdings.py
@@ -4,21 +4,40 @@
 
 from currantspur.decisions.allowance import Allowance
 from currantspur.decisions.lending import Authority, Lender
-from currantspur.messages import Loan, LoanRequest, Part, Parts
+from currantspur.messages import (
+    Loan,
+    LoanRequest,
+    Part,
+    Parts,
+    name_team_limit,
+)
 
 NOTHING = Part(rate=0.0, burst=0.0)
+TEAM_PREFIX = name_team_limit('')
 
 
 class Holdings:
     """Spend, lend and borrow under the parts of the newest version."""
 
-    __slots__ = ('allowances', 'lender', 'version')
+    __slots__ = ('allowances', 'earns_until', 'lender', 'version')
 
     def __init__(self) -> None:
         self.version = 0
+        self.earns_until = float('-inf')
         self.allowances: dict[str, Allowance] = {}
         self.lender = Lender()
 
+    def prove(self, until: float) -> None:
+        """Let the parts of teams earn until a proof of them ends.
+
+        Requests without a team go on without a proof, and so do the limits
+        that only they spend of.
+        """
+        self.earns_until = until
+        for limit, allowance in self.allowances.items():
+            if limit.startswith(TEAM_PREFIX):
+                allowance.earns_until = until
+
     def lapse(self, until: float, at: float) -> None:
         """Stop all refills at the end of freshness: a version is over.
 
@@ -35,7 +54,7 @@
         self.version = parts.version
         for limit, part in parts.by_limit.items():
             if limit not in self.allowances:
-                self.allowances[limit] = Allowance(part, at=at)
+                self._open(limit, part, at)
         for limit, allowance in self.allowances.items():
             allowance.resize(parts.by_limit.get(limit, NOTHING), at)
         self._prune(parts.by_limit)
@@ -75,9 +94,15 @@
     ) -> None:
         """Add tokens that a peer deducted."""
         if limit not in self.allowances:
-            self.allowances[limit] = Allowance(NOTHING, at=at)
+            self._open(limit, NOTHING, at)
         self.allowances[limit].borrow(tokens, until)
 
+    def _open(self, limit: str, part: Part, at: float) -> None:
+        allowance = Allowance(part, at=at)
+        if limit.startswith(TEAM_PREFIX):
+            allowance.earns_until = self.earns_until
+        self.allowances[limit] = allowance
+
     def _prune(self, kept: Mapping[str, Part]) -> None:
         idle = [
             limit
--- a/src/currantspur/tasks/admission.py
+++ b/src/currantspur/tasks/admission.py
@@ -109,10 +109,18 @@
     def _prove(self, proof: Proof) -> None:
         self._advance(proof.version)
         self.state.freshness.accept(proof)
+        self._earn()
 
     def _resize(self, parts: Parts) -> None:
         self._advance(parts.version)
         self.state.holdings.resize(parts, self.clock.now())
+        self._earn()
+
+    def _earn(self) -> None:
+        """Earn until the end of a proof, if it is of the parts held."""
+        state = self.state
+        if state.freshness.version == state.holdings.version:
+            state.holdings.prove(self._fresh_until())
 
     def _apply(self, version: InForce) -> None:
         if version.head.version <= self.state.version:
--- a/src/currantspur/tasks/loan_desk.py
+++ b/src/currantspur/tasks/loan_desk.py
@@ -1,7 +1,7 @@
 """Keep requests that wait for a loan."""
 
 from collections import deque
-from math import ceil
+from math import floor
 
 from currantspur.decisions.borrowing import Borrower
 from currantspur.decisions.demand import DemandMeter
@@ -65,7 +65,7 @@
 
     def _ask(self, limit: str, at: float) -> bool:
         waiting = len(self.waiting.get(limit, ()))
-        lacking = ceil(self.shortage.read(limit, at) * SHORTAGE_MEMORY_S)
+        lacking = floor(self.shortage.read(limit, at) * SHORTAGE_MEMORY_S)
         tokens = float(max(1, waiting, lacking))
         call = self.borrower.ask(limit, tokens, at, version=self.version)
         if call is not None:
--- a/tests/limits_model.py
+++ b/tests/limits_model.py
@@ -169,6 +169,7 @@
         self.freshness.accept(
             Proof(version=version.number, proven_at=proven_at),
         )
+        self.holdings.prove(self.fresh_until())
 
     def cap(self, version):
         return cap_plan(version.plan, version.configuration(), self.name)
