--- a/src/currantspur/cli/__init__.py
+++ b/src/currantspur/cli/__init__.py
@@ -1,6 +1,24 @@
 """Offer the command line: one module for each group of commands."""
 
-from currantspur.cli import checking, daemons, loading
+from currantspur.cli import (
+    changes,
+    checking,
+    daemons,
+    drains,
+    keys,
+    loading,
+    review,
+)
 from currantspur.cli.application import app, main
 
-__all__ = ('app', 'checking', 'daemons', 'loading', 'main')
+__all__ = (
+    'app',
+    'changes',
+    'checking',
+    'daemons',
+    'drains',
+    'keys',
+    'loading',
+    'main',
+    'review',
+)
--- a/src/currantspur/cli/daemons.py
+++ b/src/currantspur/cli/daemons.py
@@ -3,7 +3,6 @@
 import asyncio
 import signal
 import sys
-from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -30,6 +29,8 @@
 @app.command
 def entry(*, settings: Path) -> None:
     """Run one entry instance."""
+    logger.remove()
+    logger.add(sys.stderr, diagnose=False)
     text = settings.read_text(encoding='utf-8')
     parsed = read_daemon_settings(text, file=str(settings))
     uvloop.run(_run_daemon(Daemon, parsed))
@@ -60,7 +61,9 @@
     daemon = kind(settings)
     await daemon.start()
     await _wait_for_signal()
-    await daemon.stop()
+    hurried = asyncio.create_task(_wait_for_signal())
+    await daemon.leave(hurried)
+    hurried.cancel()
 
 
 async def _serve(application: web.Application, address: str) -> None:
@@ -70,9 +73,9 @@
     await runner.cleanup()
 
 
-def _wait_for_signal() -> Coroutine[Any, Any, bool]:
+async def _wait_for_signal() -> None:
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for each in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(each, stopped.set)
-    return stopped.wait()
+    await stopped.wait()
--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from currantspur.departure import Departure
 from currantspur.errors import PlatformError
 from currantspur.messages import Instance, Message
 from currantspur.settings import DaemonSettings
@@ -49,6 +50,7 @@
         'jobs',
         'journal',
         'limits',
+        'listener',
         'metrics',
         'peer_server',
         'peers',
@@ -103,7 +105,7 @@
         self.control = self._open_control()
         self.limits.planner.committer = self.control.committer
         self.claims = ClaimTask(
-            platform=self.control.platform, clock=self.clock
+            platform=self.control.count('claims'), clock=self.clock
         )
         self.changes = ChangeTask(
             platform=self.control.platform,
@@ -111,18 +113,18 @@
             trusted=settings.operators,
         )
         self.peer_server = PeerServer(self._peer_mailboxes())
-        self.jobs: list[asyncio.Task[None]] = []
-        self.runners: list[Any] = []
-
-    async def start(self) -> None:
-        """Listen and start every task; raise ListenError where one cannot."""
-        listener = Listener(
+        self.listener = Listener(
             exchange=self._open_exchange(),
             steering=self.steering.mailbox,
             clock=self.clock,
             metrics=self.metrics,
             tracer=self.tracer,
         )
+        self.jobs: list[asyncio.Task[None]] = []
+        self.runners: list[Any] = []
+
+    async def start(self) -> None:
+        """Listen and start every task; raise ListenError where one cannot."""
         admin = AdminListener(
             services=self._open_services(),
             metrics=self.metrics,
@@ -130,7 +132,7 @@
         )
         settings = self.settings
         for application, address in (
-            (listener.application(), settings.listen),
+            (self.listener.application(), settings.listen),
             (admin.application(), settings.admin),
         ):
             self.runners.append(await open_server(application, address))
@@ -146,14 +148,37 @@
         """Tell whether a version is in force."""
         return self.control.follower.head is not None
 
+    async def leave(self, hurried: 'asyncio.Task[None]') -> None:
+        """Leave the answers, wait out caches and requests, and stop."""
+        departure = Departure(
+            reader=self.control.membership_reader,
+            steering=self.steering.mailbox,
+            listener=self.listener,
+            claims=self.claims.mailbox,
+            clock=self.clock,
+        )
+        leaving = asyncio.create_task(departure.run(self.runners[0]))
+        await asyncio.wait(
+            (leaving, hurried),
+            timeout=self.settings.leave_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if not leaving.done():
+            logger.warning('leaving is cut short')
+            leaving.cancel()
+            self.listener.cut()
+        await self.stop()
+
     async def stop(self) -> None:
-        """Leave the answers, finish what runs, and close."""
+        """Announce leaving, finish what runs, and close, once."""
+        if not self.runners:
+            return
         try:
             await self.control.membership_reader.leave()
         except PlatformError as error:
             logger.warning('could not announce leaving: {}', error)
-        for runner in self.runners:
-            await runner.cleanup()
+        while self.runners:
+            await self.runners.pop(0).cleanup()
         for job in self.jobs:
             job.cancel()
         await asyncio.gather(*self.jobs, return_exceptions=True)
@@ -211,6 +236,7 @@
                 *(task.mailbox for task in tasks),
             ],
             seeds=map(_name_seed, settings.seeds),
+            counter=self.metrics.platform_calls,
         )
 
     def _open_services(self) -> AdminServices:
--- a/src/currantspur/decisions/borrowing.py
+++ b/src/currantspur/decisions/borrowing.py
@@ -63,6 +63,13 @@
         ask = self.asks.get(loan_id)
         return ask.limit if ask else None
 
+    def may_ask(self, limit: str, at: float) -> bool:
+        """Tell whether a request is under way or can be sent."""
+        if self.is_waiting(limit):
+            return True
+        self.budget.refill(at)
+        return self.budget.level >= 1 and self._choose(limit, at) is not None
+
     def ask(
         self, limit: str, tokens: float, at: float, *, version: int
     ) -> LoanCall | None:
--- a/src/currantspur/decisions/demand.py
+++ b/src/currantspur/decisions/demand.py
@@ -4,8 +4,6 @@
 
 from currantspur.messages import Message
 
-SMALLEST_RATE = 0.01
-
 
 class _Rate(Message):
     """Keep an exponentially decayed count."""
@@ -37,18 +35,6 @@
         rate = self.rates.get(limit)
         return self._decay(rate, at) / self.memory_s if rate else 0.0
 
-    def list_rates(self, at: float) -> dict[str, float]:
-        """Return the rate of each limit and forget the idle ones."""
-        found = {limit: self.read(limit, at) for limit in self.rates}
-        for limit, rate in found.items():
-            if rate < SMALLEST_RATE:
-                self.rates.pop(limit)
-        return {
-            limit: round(rate, 2)
-            for limit, rate in found.items()
-            if rate >= SMALLEST_RATE
-        }
-
     def _decay(self, rate: _Rate, at: float) -> float:
         passed = max(0.0, at - rate.at)
         return rate.count * exp(-passed / self.memory_s)
--- a/src/currantspur/decisions/planning.py
+++ b/src/currantspur/decisions/planning.py
@@ -36,11 +36,11 @@
     demand: Demand,
     previous: Plan,
 ) -> Plan:
-    """Return a plan; demand is requests a second by limit and instance."""
-    live = sorted(
-        (one for one in members if one.state == 'live'),
-        key=lambda one: one.name,
-    )
+    """Return a plan; demand is requests a second by limit and instance.
+
+    A leaving instance keeps its parts: callers still come by old answers.
+    """
+    listed = sorted(members, key=lambda one: one.name)
     totals = total_limits(configuration)
     shares = _read_shares(previous)
     allotments = [
@@ -48,7 +48,7 @@
         for limit in list_limits(configuration)
         for allotment in _split(
             limit,
-            choose_holders(limit, live, tuple(shares.get(limit.name, {}))),
+            choose_holders(limit, listed, tuple(shares.get(limit.name, {}))),
             demand.get(limit.name, {}),
             _share_of(limit, totals[limit.name], shares),
         )
--- a/src/currantspur/decisions/window.py
+++ b/src/currantspur/decisions/window.py
@@ -64,7 +64,7 @@
             one
             for one in self.learnt
             if one.superseded_at is None
-            or one.superseded_at + self.settle_s >= at
+            or one.superseded_at + self.settle_s > at
         ]
         if not self.learnt or any(one.parts is None for one in self.learnt):
             return {}
--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -104,5 +104,10 @@
     """Report that the time of an exchange with a target ran out."""
 
 
-class BodyCutError(CurrantspurError):
-    """Report that a caller's body ended before its end."""
+class CallError(CurrantspurError):
+    """Report a request for which a caller got no whole answer."""
+
+    def __init__(self, detail: str, *, sent: bool) -> None:
+        """Take whether the request may have reached an entry."""
+        super().__init__(detail)
+        self.sent = sent
--- a/src/currantspur/messages/__init__.py
+++ b/src/currantspur/messages/__init__.py
@@ -3,6 +3,7 @@
 from currantspur.messages.base import Message, fields
 from currantspur.messages.claims import (
     Claim,
+    ClaimFlush,
     ClaimRequest,
     ClaimResult,
     StoredAnswer,
@@ -77,7 +78,6 @@
     Refusal,
     SlotRelease,
     SlotRequest,
-    Verdict,
 )
 
 __all__ = (
@@ -89,6 +89,7 @@
     'Block',
     'Change',
     'Claim',
+    'ClaimFlush',
     'ClaimRequest',
     'ClaimResult',
     'Configuration',
@@ -140,7 +141,6 @@
     'StoredAnswer',
     'Target',
     'Team',
-    'Verdict',
     'VersionNotice',
     'WitnessQuery',
     'WitnessState',
--- a/src/currantspur/messages/loans.py
+++ b/src/currantspur/messages/loans.py
@@ -1,4 +1,4 @@
-"""Define what tasks of one instance say about loans and demand."""
+"""Define what tasks of one instance say about loans."""
 
 from currantspur.messages.base import Message
 from currantspur.messages.peer import Loan, LoanRequest
@@ -33,20 +33,3 @@
     def __init__(self, *, loan_id: str, loan: Loan | None = None) -> None:
         self.loan_id = loan_id
         self.loan = loan
-
-
-class DemandQuery(Message):
-    """Ask which limits were wanted lately, and how much."""
-
-    __slots__ = ()
-
-
-class DemandReport(Message):
-    """Tell the planner the demand of an instance by limit."""
-
-    __slots__ = ('by_limit', 'instance')
-
-    def __init__(self, *, instance: str, by_limit: dict[str, float]) -> None:
-        """Take requests a second."""
-        self.instance = instance
-        self.by_limit = by_limit
--- a/src/currantspur/pipelines/admission.py
+++ b/src/currantspur/pipelines/admission.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable, Iterator
 
-from currantspur.decisions.demand import DemandMeter
 from currantspur.decisions.freshness import Freshness
 from currantspur.decisions.holdings import Holdings
 from currantspur.decisions.identity import KeyRing
@@ -16,14 +15,11 @@
 )
 from currantspur.pipelines.filter import Filter, Gate, Pipeline
 
-DEMAND_MEMORY_S = 10.0
-
 
 class AdmissionState:
     """Hold what the admission filters read; one task owns it."""
 
     __slots__ = (
-        'demand',
         'freshness',
         'holdings',
         'keys',
@@ -39,7 +35,6 @@
         self.keys = KeyRing(())
         self.region: str | None = None
         self.holdings = Holdings()
-        self.demand = DemandMeter(memory_s=DEMAND_MEMORY_S)
 
     def is_current(self, at: float) -> bool:
         """Tell whether keys and parts are proven to be the newest."""
@@ -129,27 +124,6 @@
         return None
 
 
-class CountDemand(Filter[Passage, Passage]):
-    """Count what is wanted of each limit, refused or not."""
-
-    __slots__ = ('state',)
-
-    def __init__(self, state: AdmissionState) -> None:
-        self.state = state
-
-    def run(self, stream: Iterable[Passage]) -> Iterator[Passage]:
-        """Yield every passage, counted if it was not refused before."""
-        for passage in stream:
-            if passage.refusal is None:
-                self.count(passage)
-            yield passage
-
-    def count(self, passage: Passage) -> None:
-        """Count one request for each of its limits."""
-        for limit in list_limits_of(self.state, passage):
-            self.state.demand.add(limit, passage.arrival.at)
-
-
 class SpendLimits(Gate):
     """Spend a token of this instance's part of each limit, or of none."""
 
@@ -196,7 +170,6 @@
         MatchRoute(state),
         ProveFreshness(state),
         IdentifyTeam(state),
-        CountDemand(state),
         SpendLimits(state),
     )
 
--- a/src/currantspur/tasks/admission.py
+++ b/src/currantspur/tasks/admission.py
@@ -21,7 +21,7 @@
     Passage,
     Proof,
 )
-from currantspur.messages.loans import DemandQuery, DemandReport, LoanOutcome
+from currantspur.messages.loans import LoanOutcome
 from currantspur.pipelines import (
     AdmissionState,
     Pipeline,
@@ -77,7 +77,6 @@
         )
 
         self.handlers: dict[type[Message], Callable[[Any], Any]] = {
-            DemandQuery: self._report,
             InForce: self._apply,
             LoanOutcome: self._settle,
             LoanRequest: self._lend,
@@ -100,6 +99,8 @@
             letter.answer(confirmation.refusal)
         for letter, passage in _run(self.pipeline, arrived, self.clock):
             self._finish(_wait(letter, passage))
+        for waiting in self.desk.flush(self.clock.now()):
+            waiting.letter.answer(waiting.passage)
 
     def learn(self, message: Message) -> Message | None:
         """Apply what a message says and return the answer, if it has one."""
@@ -160,10 +161,6 @@
         )
         return self.state.holdings.lend(request, authority, now)
 
-    def _report(self, _query: DemandQuery) -> DemandReport:
-        rates = self.state.demand.list_rates(self.clock.now())
-        return DemandReport(instance=self.instance, by_limit=rates)
-
     def _settle(self, outcome: LoanOutcome) -> None:
         now = self.clock.now()
         released = self.desk.settle(outcome, self.state.holdings, now)
--- a/src/currantspur/tasks/body.py
+++ b/src/currantspur/tasks/body.py
@@ -3,8 +3,6 @@
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 
-from currantspur.errors import BodyCutError
-
 REPLAY_LIMIT_BYTES = 65_536
 
 
@@ -15,7 +13,7 @@
 
     @abstractmethod
     async def read(self) -> bytes:
-        """Return the next piece, empty at the end; raise BodyCutError."""
+        """Return the next piece, empty at the end; raise ConnectionError."""
 
 
 class RequestBody:
@@ -45,7 +43,7 @@
     async def _read(self) -> bytes:
         try:
             return await self.source.read()
-        except BodyCutError:
+        except ConnectionError:
             self.is_cut = True
             raise
 
--- a/src/currantspur/tasks/loan_desk.py
+++ b/src/currantspur/tasks/loan_desk.py
@@ -1,6 +1,7 @@
 """Keep requests that wait for a loan."""
 
 from collections import deque
+from collections.abc import Iterator
 from math import floor
 
 from currantspur.decisions.borrowing import Borrower
@@ -48,11 +49,19 @@
         self.shortage.add(limit, at)
         if len(queue) >= WAITING_LIMIT or waiting.until <= at:
             return False
-        if not self.borrower.is_waiting(limit) and not self._ask(limit, at):
+        if not self.borrower.may_ask(limit, at):
             return False
         queue.append(waiting)
         return True
 
+    def flush(self, at: float) -> Iterator[Waiting]:
+        """Ask once for all that wait; yield those for whom nobody lends."""
+        for limit, queue in list(self.waiting.items()):
+            if self.borrower.is_waiting(limit):
+                continue
+            if not queue or not self._ask(limit, at):
+                yield from self.waiting.pop(limit)
+
     def settle(
         self, outcome: LoanOutcome, holdings: Holdings, at: float
     ) -> deque[Waiting]:
--- a/src/currantspur/tasks/planner.py
+++ b/src/currantspur/tasks/planner.py
@@ -20,7 +20,6 @@
     Message,
     Plan,
 )
-from currantspur.messages.loans import DemandReport
 from currantspur.platform.plans import PLAN_SECTION, encode_plan
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.committer import Committer
@@ -30,6 +29,7 @@
 
 TICK_S = 0.1
 PLAN_S = 3.0
+RETRY_S = 0.5
 # A change of members or configuration is waited for this long, to batch.
 BATCH_S = 0.2
 # The next in rank plans when the chosen one has not for this time.
@@ -40,14 +40,13 @@
 
 
 class Planner(Task):
-    """Commit a new plan when members, configuration or demand changed."""
+    """Commit a new plan when members or configuration changed."""
 
     __slots__ = (
         'clock',
         'committer',
         'configuration',
         'counts',
-        'demand',
         'head',
         'instance',
         'journal',
@@ -74,7 +73,6 @@
         self.configuration = Configuration()
         self.plan = Plan()
         self.members: tuple[Instance, ...] = ()
-        self.demand: dict[str, dict[str, float]] = {}
         self.planned_at = float('-inf')
         self.needed_at: float | None = None
         self.reason = ''
@@ -88,7 +86,7 @@
                 await self.commit()
 
     def receive(self, letters: Iterable[Letter]) -> None:
-        """Note versions, members and demand."""
+        """Note versions and members."""
         for letter in letters:
             self.learn(letter.message)
 
@@ -99,8 +97,6 @@
         elif isinstance(message, Membership):
             self.members = message.instances
             self._need('members changed')
-        elif isinstance(message, DemandReport):
-            self._note(message)
         return False
 
     def is_due(self) -> bool:
@@ -111,7 +107,7 @@
         rank = self._rank()
         waited_s = now - self.needed_at
         # A new configuration has to be in force within seconds.
-        pause_s = BATCH_S if self.reason == CONFIGURED else PLAN_S
+        pause_s = RETRY_S if self.reason == CONFIGURED else PLAN_S
         return (
             rank < PLANNERS
             and waited_s >= BATCH_S + rank * TAKEOVER_S
@@ -120,9 +116,7 @@
 
     async def commit(self) -> None:
         """Commit a plan if it differs; whoever loses a race learns of it."""
-        plan = plan_limits(
-            self.configuration, self.members, self.demand, self.plan
-        )
+        plan = plan_limits(self.configuration, self.members, {}, self.plan)
         body = encode_plan(plan)
         head = self.head
         committer = self.committer
@@ -147,6 +141,7 @@
             self.counts['lost'] += 1
             logger.debug('plan not committed: {}', error)
         else:
+            self.needed_at = None
             self._record(committed, plan)
 
     def _apply(self, version: InForce) -> None:
@@ -160,14 +155,6 @@
         self.configuration = version.configuration
         self.plan = version.plan
 
-    def _note(self, report: DemandReport) -> None:
-        for limit, by_instance in self.demand.items():
-            if limit not in report.by_limit:
-                by_instance.pop(report.instance, None)
-        for limit, rate in report.by_limit.items():
-            self.demand.setdefault(limit, {})[report.instance] = rate
-        self._need('demand moved')
-
     def _need(self, reason: str) -> None:
         if self.needed_at is None:
             self.needed_at = self.clock.now()
