--- a/src/currantspur/decisions/allowance.py
+++ b/src/currantspur/decisions/allowance.py
@@ -55,11 +55,6 @@
         burst = max(0.0, self.part.burst - self.count_lent())
         self.bucket.resize(rate=self.part.rate, burst=burst, at=earned_at)
 
-    def freeze(self, until: float, at: float) -> None:
-        """Refill for the time up to one moment only, not to the present."""
-        self.refill(min(until, at))
-        self.bucket.updated_at = max(self.bucket.updated_at, at)
-
     def count_lent(self) -> float:
         """Return the tokens that borrowers may still spend."""
         return sum(loan.tokens for loan in self.lent)
--- a/src/currantspur/decisions/demand.py
+++ b/src/currantspur/decisions/demand.py
@@ -1,40 +1,49 @@
-"""Measure demand as rates that forget."""
+"""Estimate demand from load reports that lag, stop, freeze or lie."""
 
-from math import exp
+import math
 
-from currantspur.messages import Message
+from currantspur.messages import LoadReport
 
+DECLINE_S = 60.0
+RISE_LIMIT = 2.0
+LEAST_RISE = 10.0
 
-class _Rate(Message):
-    """Keep an exponentially decayed count."""
 
-    __slots__ = ('at', 'count')
+class DemandEstimate:
+    """Follow rises at once, within a bound, and declines slowly."""
 
-    def __init__(self, at: float) -> None:
-        self.at = at
-        self.count = 0.0
+    __slots__ = ('age_from', 'load', 'requests_s', 'sequence')
 
+    def __init__(self) -> None:
+        self.requests_s = 0.0
+        self.load = 0.0
+        self.sequence = -1
+        self.age_from = -math.inf
 
-class DemandMeter:
-    """Count what is wanted of each limit over about a time."""
+    def accept(self, report: LoadReport) -> bool:
+        """Take a newer report; a repeated or impossible one is left out."""
+        is_old = report.sequence <= self.sequence or report.at <= self.age_from
+        if is_old or not _is_possible(report):
+            return False
+        if self.sequence >= 0:
+            self._follow(report.requests_s, report.at - self.age_from)
+        else:
+            self.requests_s = report.requests_s
+        self.load = report.load
+        self.sequence = report.sequence
+        self.age_from = report.at
+        return True
 
-    __slots__ = ('memory_s', 'rates')
+    def age_s(self, at: float) -> float:
+        """Return the age of the youngest report taken."""
+        return at - self.age_from
 
-    def __init__(self, *, memory_s: float) -> None:
-        self.memory_s = memory_s
-        self.rates: dict[str, _Rate] = {}
+    def _follow(self, reported: float, passed_s: float) -> None:
+        highest = max(self.requests_s * RISE_LIMIT, LEAST_RISE)
+        lowest = self.requests_s * math.exp(-passed_s / DECLINE_S)
+        self.requests_s = min(max(reported, lowest), highest)
 
-    def add(self, limit: str, at: float, tokens: float = 1.0) -> None:
-        """Count tokens that were wanted."""
-        rate = self.rates.setdefault(limit, _Rate(at))
-        rate.count = self._decay(rate, at) + tokens
-        rate.at = max(rate.at, at)
 
-    def read(self, limit: str, at: float) -> float:
-        """Return the tokens wanted a second."""
-        rate = self.rates.get(limit)
-        return self._decay(rate, at) / self.memory_s if rate else 0.0
-
-    def _decay(self, rate: _Rate, at: float) -> float:
-        passed = max(0.0, at - rate.at)
-        return rate.count * exp(-passed / self.memory_s)
+def _is_possible(report: LoadReport) -> bool:
+    numbers = (report.requests_s, report.load)
+    return all(math.isfinite(each) and each >= 0 for each in numbers)
--- a/src/currantspur/decisions/holdings.py
+++ b/src/currantspur/decisions/holdings.py
@@ -30,6 +30,8 @@
     def prove(self, until: float) -> None:
         """Let the parts of teams earn until a proof of them ends.
 
+        What a newer version took away others may use from then on. A time
+        without proof earns at the rate in effect once it is proven again.
         Requests without a team go on without a proof, and so do the limits
         that only they spend of.
         """
@@ -38,15 +40,6 @@
             if limit.startswith(TEAM_PREFIX):
                 allowance.earns_until = until
 
-    def lapse(self, until: float, at: float) -> None:
-        """Stop all refills at the end of freshness: a version is over.
-
-        What the next version took away others may use from then on, so the
-        time between that end and now earns nothing here.
-        """
-        for allowance in self.allowances.values():
-            allowance.freeze(until, at)
-
     def resize(self, parts: Parts, at: float) -> None:
         """Take new parts; a new allowance starts empty."""
         if parts.version < self.version:
--- a/src/currantspur/decisions/limits.py
+++ b/src/currantspur/decisions/limits.py
@@ -52,11 +52,12 @@
     for region in configuration.regions:
         yield from _split_region(region)
     yield from _list_links(configuration)
+    without = _find_zones_without(configuration)
     for target in configuration.targets:
         yield Limit(
             name=name_slots_limit(target.name),
             total=Part(rate=0.0, burst=target.slots),
-            zones=(target.availability_zone,),
+            zones=(target.availability_zone, *without[target.service]),
             is_whole=True,
         )
 
@@ -132,6 +133,24 @@
         )
 
 
+def _find_zones_without(
+    configuration: Configuration,
+) -> dict[str, tuple[str, ...]]:
+    """Return by service the availability zones that have no target of it."""
+    served: dict[str, set[str]] = {}
+    for target in configuration.targets:
+        served.setdefault(target.service, set()).add(target.availability_zone)
+    zones = [
+        zone
+        for region in configuration.regions
+        for zone in region.availability_zones
+    ]
+    return {
+        service: tuple(zone for zone in zones if zone not in found)
+        for service, found in served.items()
+    }
+
+
 def _list_links(configuration: Configuration) -> Iterator[Limit]:
     zones = {
         region.name: region.availability_zones
--- a/src/currantspur/decisions/planning.py
+++ b/src/currantspur/decisions/planning.py
@@ -69,7 +69,10 @@
         # Holders that vanished with their zone may only be cut off.
         if before and not able:
             return list(before)
-        ranked = rank_members(limit.name, able or members)
+        ranked = sorted(
+            rank_members(limit.name, able or members),
+            key=lambda one: one.availability_zone != limit.zones[0],
+        )
         return [one.name for one in ranked[: int(limit.total.burst)]]
     ranked = rank_members(limit.name, able)
     if limit.zones:
--- a/src/currantspur/messages/configuration.py
+++ b/src/currantspur/messages/configuration.py
@@ -139,6 +139,16 @@
         self.site = site
 
 
+class Site(Message):
+    """Name a place of clients by the availability zone nearest to it."""
+
+    __slots__ = ('availability_zone', 'name')
+
+    def __init__(self, *, name: str, availability_zone: str) -> None:
+        self.name = name
+        self.availability_zone = availability_zone
+
+
 class Drain(Message):
     """Plan that a target, availability zone or region stops taking work."""
 
@@ -194,6 +204,7 @@
         'operators',
         'regions',
         'routes',
+        'sites',
         'steering',
         'targets',
         'teams',
@@ -210,6 +221,7 @@
         links: tuple[Link, ...] = (),
         blocks: tuple[Block, ...] = (),
         drains: tuple[Drain, ...] = (),
+        sites: tuple[Site, ...] = (),
         operators: tuple[Operator, ...] = (),
         steering: Steering | None = None,
     ) -> None:
@@ -221,5 +233,6 @@
         self.links = links
         self.blocks = blocks
         self.drains = drains
+        self.sites = sites
         self.operators = operators
         self.steering = steering or Steering()
--- a/src/currantspur/standins/fleet.py
+++ b/src/currantspur/standins/fleet.py
@@ -2,19 +2,19 @@
 
 import asyncio
 from contextlib import AsyncExitStack
-from uuid import uuid4
 
 from aiohttp import web
 
 from currantspur.daemon import Daemon
-from currantspur.messages import Change, Configuration
+from currantspur.messages import Configuration
 from currantspur.platform import Platform
-from currantspur.platform.versions import CONFIGURATION_SECTION
-from currantspur.settings import DaemonSettings, print_configuration
+from currantspur.settings import DaemonSettings
+from currantspur.standins.faults import FaultTable
+from currantspur.standins.operator import OperatorStandin
 from currantspur.standins.platform import PlatformStandin
 from currantspur.standins.store import open_memory_platform
 from currantspur.standins.target import TargetStandin
-from currantspur.tasks import Committer, DirectCommitter
+from currantspur.tasks.clock import SystemClock
 
 HOST = '127.0.0.1'
 SETTLE_S = 3.0
@@ -23,14 +23,23 @@
 class Fleet:
     """Hold a platform, targets and entry instances in one process."""
 
-    __slots__ = ('daemons', 'platform', 'stack', 'targets', 'version')
+    __slots__ = (
+        'daemons',
+        'faults',
+        'operator',
+        'platform',
+        'stack',
+        'targets',
+    )
 
     def __init__(self, stack: AsyncExitStack) -> None:
         self.stack = stack
         self.platform: Platform = open_memory_platform()
         self.targets: dict[str, TargetStandin] = {}
         self.daemons: list[Daemon] = []
-        self.version = 0
+        self.faults = FaultTable(SystemClock())
+        self.operator = OperatorStandin(self.platform, name='demo')
+        stack.push_async_callback(self.operator.close)
 
     async def serve(self, application: web.Application) -> str:
         """Serve at a free port and return the address."""
@@ -52,7 +61,7 @@
     async def open_daemons(self, zones: tuple[str, ...]) -> None:
         """Start an entry instance in each availability zone named."""
         address = await self.serve(
-            PlatformStandin(self.platform).application(),
+            PlatformStandin(self.platform, self.faults).application(),
         )
         for index, zone in enumerate(zones, start=1):
             settings = DaemonSettings(
@@ -78,23 +87,7 @@
 
     async def apply(self, configuration: Configuration) -> None:
         """Publish a configuration and wait until it is in force."""
-        change = Change(
-            change_id=uuid4().hex,
-            base_version=self.version,
-            sections={
-                CONFIGURATION_SECTION: print_configuration(
-                    configuration
-                ).encode()
-            },
-            author='demo',
-        )
-        committer: Committer = DirectCommitter(self.platform)
-        if self.daemons:
-            control = self.daemons[0].control
-            committer = control.committer
-            change.base_version = control.follower.version
-        head = await committer.commit(change)
-        self.version = head.version
+        await self.operator.apply(configuration)
         await asyncio.sleep(SETTLE_S)
 
     async def count_runs(self, key: str) -> int:
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -3,8 +3,10 @@
 from currantspur.tasks.administration import AdministrationTask
 from currantspur.tasks.admission import AdmissionTask
 from currantspur.tasks.attempts import Attempts, TargetPort
+from currantspur.tasks.blocks import BlockLoader
 from currantspur.tasks.body import BodySource, RequestBody
 from currantspur.tasks.changes import ChangeTask
+from currantspur.tasks.claim_sweep import ClaimSweep
 from currantspur.tasks.claims import ClaimTask
 from currantspur.tasks.clock import Clock, SystemClock
 from currantspur.tasks.committer import (
@@ -13,7 +15,9 @@
     QuorumCommitter,
 )
 from currantspur.tasks.control import Control
+from currantspur.tasks.decisions import DecisionWriter
 from currantspur.tasks.exchange import Exchange
+from currantspur.tasks.health import HealthPort, HealthTask
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.limits import Limits
 from currantspur.tasks.mailbox import Letter, Mailbox
@@ -26,14 +30,19 @@
     'AdministrationTask',
     'AdmissionTask',
     'Attempts',
+    'BlockLoader',
     'BodySource',
     'ChangeTask',
+    'ClaimSweep',
     'ClaimTask',
     'Clock',
     'Committer',
     'Control',
+    'DecisionWriter',
     'DirectCommitter',
     'Exchange',
+    'HealthPort',
+    'HealthTask',
     'Journal',
     'Letter',
     'Limits',
--- a/src/currantspur/tasks/admission.py
+++ b/src/currantspur/tasks/admission.py
@@ -108,12 +108,10 @@
         return handle(message) if handle else None
 
     def _prove(self, proof: Proof) -> None:
-        self._advance(proof.version)
         self.state.freshness.accept(proof)
         self._earn()
 
     def _resize(self, parts: Parts) -> None:
-        self._advance(parts.version)
         self.state.holdings.resize(parts, self.clock.now())
         self._earn()
 
@@ -126,7 +124,6 @@
     def _apply(self, version: InForce) -> None:
         if version.head.version <= self.state.version:
             return
-        self._advance(version.head.version)
         configuration = version.configuration
         self.state.version = version.head.version
         self.state.routes = RouteTable(configuration.routes)
@@ -142,12 +139,6 @@
         self.desk.version = version.head.version
         self.desk.borrower.learn(list_lenders(version.plan, self.instance))
 
-    def _advance(self, version: int) -> None:
-        """Stop refills at the end of the proof that a new version ends."""
-        state = self.state
-        if version > max(state.freshness.version, state.holdings.version):
-            state.holdings.lapse(self._fresh_until(), self.clock.now())
-
     def _fresh_until(self) -> float:
         freshness = self.state.freshness
         return freshness.proven_at + freshness.limit_s
--- a/src/currantspur/tasks/loan_desk.py
+++ b/src/currantspur/tasks/loan_desk.py
@@ -5,8 +5,8 @@
 from math import floor
 
 from currantspur.decisions.borrowing import Borrower
-from currantspur.decisions.demand import DemandMeter
 from currantspur.decisions.holdings import Holdings
+from currantspur.decisions.shortage import ShortageMeter
 from currantspur.messages import Message, Passage
 from currantspur.messages.loans import LoanOutcome
 from currantspur.tasks.mailbox import Letter, Mailbox
@@ -40,7 +40,7 @@
         self.borrower = borrower
         self.calls = calls
         self.version = 0
-        self.shortage = DemandMeter(memory_s=SHORTAGE_MEMORY_S)
+        self.shortage = ShortageMeter(memory_s=SHORTAGE_MEMORY_S)
         self.waiting: dict[str, deque[Waiting]] = {}
 
     def hold(self, limit: str, waiting: Waiting, at: float) -> bool:
--- a/src/currantspur/tasks/planner.py
+++ b/src/currantspur/tasks/planner.py
@@ -37,6 +37,10 @@
 PLANNERS = 3
 SUBJECT = 'planner'
 CONFIGURED = 'configuration changed'
+JOINED = 'an instance joined'
+URGENT = frozenset((CONFIGURED, JOINED))
+# An instance that just started may not have seen all members yet.
+YOUNG_S = 5.0
 
 
 class Planner(Task):
@@ -55,6 +59,7 @@
         'plan',
         'planned_at',
         'reason',
+        'started_at',
     )
 
     def __init__(
@@ -74,6 +79,7 @@
         self.plan = Plan()
         self.members: tuple[Instance, ...] = ()
         self.planned_at = float('-inf')
+        self.started_at = clock.now()
         self.needed_at: float | None = None
         self.reason = ''
         self.counts: Counter[str] = Counter()
@@ -96,7 +102,7 @@
             self._apply(message)
         elif isinstance(message, Membership):
             self.members = message.instances
-            self._need('members changed')
+            self._need(self._describe_members())
         return False
 
     def is_due(self) -> bool:
@@ -104,10 +110,12 @@
         if self.needed_at is None or self.head is None:
             return False
         now = self.clock.now()
+        if self.plan.allotments and now - self.started_at < YOUNG_S:
+            return False
         rank = self._rank()
         waited_s = now - self.needed_at
         # A new configuration has to be in force within seconds.
-        pause_s = RETRY_S if self.reason == CONFIGURED else PLAN_S
+        pause_s = RETRY_S if self.reason in URGENT else PLAN_S
         return (
             rank < PLANNERS
             and waited_s >= BATCH_S + rank * TAKEOVER_S
@@ -159,9 +167,14 @@
         if self.needed_at is None:
             self.needed_at = self.clock.now()
             self.reason = reason
-        elif reason == CONFIGURED:
+        elif reason in URGENT:
             self.reason = reason
 
+    def _describe_members(self) -> str:
+        holders = {one.instance for one in self.plan.allotments}
+        live = {one.name for one in self.members if one.state == 'live'}
+        return JOINED if live - holders else 'members changed'
+
     def _rank(self) -> int:
         live = [one for one in self.members if one.state == 'live']
         names = [one.name for one in rank_members(SUBJECT, live)]
--- a/src/currantspur/wire/listener.py
+++ b/src/currantspur/wire/listener.py
@@ -1,8 +1,8 @@
 """Serve callers over HTTP: look-ups and requests."""
 
 import asyncio
+import socket
 from collections.abc import AsyncGenerator
-from ipaddress import ip_address
 from typing import Any
 from uuid import uuid4
 
@@ -84,6 +84,12 @@
         """Cancel every request that still runs."""
         for task in self.running:
             task.cancel()
+        self.exchange.completion.cut()
+
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether any request still runs."""
+        return bool(self.running or self.exchange.completion.jobs)
 
     def application(self) -> web.Application:
         """Return the application that serves callers."""
@@ -117,10 +123,10 @@
 
     async def look_up(self, request: web.Request) -> web.Response:
         """Answer which entries a client should use."""
-        client = request.query.get('client') or request.remote or ''
+        query = request.query
         try:
-            ip_address(client)
-        except ValueError:
+            client = pack_address(query.get('client') or request.remote or '')
+        except OSError:
             return encode_refusal(
                 Refusal(code='bad_request', detail='client: not an IP number'),
                 read_request_id(request),
@@ -130,8 +136,8 @@
             LookupQuery(
                 at=self.clock.now(),
                 client=client,
-                service=request.query.get('service'),
-                team=request.query.get('team'),
+                service=query.get('service'),
+                team=query.get('team'),
             )
         )
         return encode_lookup(answer)
@@ -148,7 +154,9 @@
                 refusal = Refusal(code='bad_request', detail=str(error))
                 return self._refuse(refusal, request_id)
             outgoing = read_outgoing(request, request_id)
-            body = RequestBody(HttpBody(request.content))
+            body = RequestBody(
+                HttpBody(request.content), is_empty=not request.body_exists
+            )
             parts = self.exchange.run(arrival, outgoing, body)
             try:
                 return await self._answer(request, request_id, parts)
@@ -220,6 +228,12 @@
             request.transport.abort()
 
 
+def pack_address(text: str) -> bytes:
+    """Return the 4 or 16 bytes of an address; raise OSError for others."""
+    family = socket.AF_INET6 if ':' in text else socket.AF_INET
+    return socket.inet_pton(family, text)
+
+
 def read_request_id(request: web.Request) -> str:
     """Return the caller's request id where it is usable, else a new one."""
     given = request.headers.get(names.REQUEST_ID_HEADER, '')
--- a/tests/carrying.py
+++ b/tests/carrying.py
@@ -24,6 +24,7 @@
     Attempts,
     ClaimTask,
     Exchange,
+    Mailbox,
     SteeringTask,
     SystemClock,
     TargetPool,
@@ -45,7 +46,12 @@
         self.admission = AdmissionTask(clock=self.clock, freshness_s=1e6)
         self.pool = TargetPool(clock=self.clock, availability_zone='z-1')
         self.claims = ClaimTask(platform=platform, clock=self.clock)
-        self.steering = SteeringTask()
+        self.steering = SteeringTask(
+            clock=self.clock,
+            journal=Mailbox(),
+            instance='entry-1',
+            freshness_s=1.5,
+        )
         self.targets = HttpTargets()
         self.metrics = Metrics()
         self.configuration = configuration
@@ -82,8 +88,12 @@
             metrics=self.metrics,
             tracer=NoOpTracer(),
         )
+        self.listener = listener
         return listener.application()
 
+    def busy(self):
+        return self.listener.is_busy
+
 
 class Site:
     """Targets, entries that share them and a platform, and one caller."""
--- a/tests/limits_model.py
+++ b/tests/limits_model.py
@@ -140,7 +140,6 @@
     def learn(self, version, proven_at, at, *, skipped=True):
         now = self.clock(at)
         if version.number > self.version:
-            self.holdings.lapse(self.fresh_until(), now)
             passed = [
                 self.cap(one)
                 for one in self.store.versions[
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -181,6 +181,23 @@
     assert {name: part.burst for name, part in held.items()} == expected
 
 
+@pytest.mark.parametrize(
+    ('count', 'slots', 'expected'),
+    [
+        (3, 3, {'entry-0': 1, 'entry-1': 1, 'entry-2': 1}),
+        (3, 1, {'entry-0': 1}),
+        (3, 4, {'entry-0': 2, 'entry-1': 1, 'entry-2': 1}),
+        (1, 3, {'entry-0': 3}),
+    ],
+)
+def test_zones_without_targets_share_slots(count, slots, expected):
+    configuration = describe(slots=slots)
+    configuration.targets = configuration.targets[:1]
+    plan = plan_limits(configuration, list_members(count), {}, Plan())
+    held = find_holders(plan, 'slots/status-north-1')
+    assert {name: part.burst for name, part in held.items()} == expected
+
+
 @pytest.mark.parametrize(
     ('limit', 'planned', 'configured', 'expected'),
     [
