--- a/src/currantspur/decisions/edits.py
+++ b/src/currantspur/decisions/edits.py
@@ -134,14 +134,14 @@
         self.drain = drain
 
     def apply(self, configuration: Configuration) -> Configuration:
-        """Add the drain or raise EditError where its name is taken."""
+        """Add the drain or raise EditError for what speaks against it."""
         if self.drain.name not in _list_scope(configuration, self.drain.scope):
             raise EditError(f'no such {self.drain.scope}: {self.drain.name}')
         if _has_drain(configuration, self.drain.drain_id):
             raise TakenError(f'drain exists: {self.drain.drain_id}')
         findings = check_drain(configuration, self.drain, {})
         if findings:
-            raise EditError('; '.join(each.text for each in findings))
+            raise TakenError('; '.join(one.text for one in findings))
         drains = (*configuration.drains, self.drain)
         return _copy(configuration, drains=drains)
 
