--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -24,10 +24,10 @@
     Clock,
     Control,
     DecisionWriter,
-    EqualShares,
     Exchange,
     HealthTask,
     Journal,
+    Limits,
     Mailbox,
     SteeringTask,
     SystemClock,
@@ -61,6 +61,7 @@
         'health',
         'jobs',
         'journal',
+        'limits',
         'listener',
         'metrics',
         'peer_server',
@@ -68,7 +69,6 @@
         'pool',
         'runners',
         'settings',
-        'shares',
         'steering',
         'targets',
         'tracer',
@@ -92,7 +92,10 @@
             PeerTls(peer_tls).open_channel if peer_tls else None
         )
         self.admission = AdmissionTask(
-            clock=self.clock, freshness_s=settings.freshness_s
+            clock=self.clock,
+            freshness_s=settings.freshness_s,
+            instance=settings.instance,
+            availability_zone=settings.availability_zone,
         )
         self.decisions = DecisionWriter(
             store=open_platform(self.client).object_store,
@@ -121,7 +124,15 @@
             instance=settings.instance,
             freshness_s=settings.freshness_s,
         )
-        self.shares = EqualShares(admission=self.admission.mailbox)
+        self.limits = Limits(
+            instance=settings.instance,
+            clock=self.clock,
+            freshness_s=settings.freshness_s,
+            admission=self.admission,
+            pool=self.pool,
+            peers=self.peers,
+            journal=self.journal.mailbox,
+        )
         self.administration = AdministrationTask(
             clock=self.clock, trusted=settings.operators
         )
@@ -131,6 +142,7 @@
             steering=self.steering.mailbox,
         )
         self.control = self._open_control()
+        self.limits.planner.committer = self.control.committer
         self.claims = ClaimTask(
             platform=self.control.count('claims'), clock=self.clock
         )
@@ -252,14 +264,17 @@
         return credentials
 
     def _peer_mailboxes(self) -> dict[type[Message], Mailbox]:
-        return self.control.questions()
+        return {
+            **self.control.questions(),
+            **self.limits.questions(),
+        }
 
     def _tasks(self) -> Iterator[Task]:
         yield self.admission
         yield self.pool
         yield self.steering
         yield self.journal
-        yield self.shares
+        yield from self.limits.tasks()
         yield self.claims
         yield self.administration
         yield self.blocks
@@ -280,7 +295,6 @@
             self.steering,
             self.blocks,
             self.health,
-            self.shares,
             self.administration,
         )
         return Control(
@@ -290,7 +304,11 @@
             clock=self.clock,
             poll_s=settings.poll_s,
             journal=self.journal.mailbox,
-            readers=[task.mailbox for task in tasks],
+            # Parts come before the version that they belong to is used.
+            readers=[
+                *self.limits.readers(),
+                *(task.mailbox for task in tasks),
+            ],
             seeds=map(_name_seed, settings.seeds),
             counter=self.metrics.platform_calls,
         )
--- a/src/currantspur/tasks/targets.py
+++ b/src/currantspur/tasks/targets.py
@@ -94,7 +94,7 @@
         if isinstance(message, InForce):
             self._apply(message.configuration)
         elif isinstance(message, Parts):
-            self.table.allot(message.by_limit)
+            self.table.allot(message.by_limit, version=message.version)
         elif isinstance(message, HealthVerdicts):
             self.table.health = message.by_target
         elif isinstance(message, Expiry):
