Show the use of each limit as metrics and on the page

Cause: totals were shown, but not what an instance holds, spent, lent and borrowed of them. Change: admission answers a query with the use of each limit; the metrics and the page are made from it.

--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -317,6 +317,7 @@
         return AdminServices(
             instance=self.control.instance,
             administration=self.administration.mailbox,
+            admission=self.admission.mailbox,
             changes=self.changes.mailbox,
             journal=self.journal.mailbox,
             steering=self.steering.mailbox,
--- a/src/currantspur/decisions/allowance.py
+++ b/src/currantspur/decisions/allowance.py
@@ -26,10 +26,11 @@
     a level that refilled while they are unspent would add them once more.
     """
 
-    __slots__ = ('borrowed', 'bucket', 'earns_until', 'lent', 'part')
+    __slots__ = ('borrowed', 'bucket', 'earns_until', 'lent', 'part', 'spent')
 
     def __init__(self, part: Part, *, at: float, level: float = 0.0) -> None:
         self.part = part
+        self.spent = 0.0
         self.earns_until = float('inf')
         self.bucket = Bucket(
             rate=part.rate, burst=part.burst, at=at, level=level
@@ -68,6 +69,7 @@
         """Take tokens, borrowed ones first, if that many are there."""
         if self.count(at) < tokens:
             return False
+        self.spent += tokens
         for loan in self.borrowed:
             taken = min(loan.tokens, tokens)
             loan.tokens -= taken
--- a/src/currantspur/messages/operators.py
+++ b/src/currantspur/messages/operators.py
@@ -104,9 +104,9 @@
 
 
 class LimitUse(Message):
-    """Say how much of a part is left, lent, borrowed and asked for."""
+    """Say how much of a part is left, lent, borrowed and spent."""
 
-    __slots__ = ('borrowed', 'demand', 'lent', 'level', 'limit', 'part')
+    __slots__ = ('borrowed', 'lent', 'level', 'limit', 'part', 'spent')
 
     def __init__(
         self,
@@ -116,15 +116,15 @@
         level: float,
         lent: float = 0.0,
         borrowed: float = 0.0,
-        demand: float = 0.0,
+        spent: float = 0.0,
     ) -> None:
-        """Take tokens, and the demand as tokens a second."""
+        """Take tokens: those spent since the start, the others now."""
         self.limit = limit
         self.part = part
         self.level = level
         self.lent = lent
         self.borrowed = borrowed
-        self.demand = demand
+        self.spent = spent
 
 
 class UseReport(Message):
--- a/src/currantspur/tasks/admission.py
+++ b/src/currantspur/tasks/admission.py
@@ -10,6 +10,7 @@
 from currantspur.decisions.lending import Authority
 from currantspur.decisions.planning import list_lenders
 from currantspur.decisions.routing import RouteTable
+from currantspur.decisions.uses import list_uses
 from currantspur.messages import (
     Arrival,
     Confirmation,
@@ -22,6 +23,7 @@
     Proof,
 )
 from currantspur.messages.loans import LoanOutcome
+from currantspur.messages.operators import UseQuery, UseReport
 from currantspur.pipelines import (
     AdmissionState,
     Pipeline,
@@ -82,6 +84,7 @@
             LoanRequest: self._lend,
             Parts: self._resize,
             Proof: self._prove,
+            UseQuery: self._report_use,
         }
 
     def receive(self, letters: Iterable[Letter]) -> None:
@@ -107,6 +110,10 @@
         handle = self.handlers.get(type(message))
         return handle(message) if handle else None
 
+    def _report_use(self, _query: UseQuery) -> UseReport:
+        uses = list_uses(self.state.holdings, self.clock.now())
+        return UseReport(uses=tuple(uses))
+
     def _prove(self, proof: Proof) -> None:
         self.state.freshness.accept(proof)
         self._earn()
--- a/src/currantspur/wire/admin/listener.py
+++ b/src/currantspur/wire/admin/listener.py
@@ -107,7 +107,7 @@
         """Print the metrics."""
         snapshot = await self.queries.ask_snapshot()
         body = generate_latest(self.metrics.registry)
-        body += print_readings(snapshot)
+        body += print_readings(snapshot, await self.queries.ask_uses())
         headers = {'Content-Type': CONTENT_TYPE_LATEST}
         return web.Response(body=body, headers=headers)
 
--- a/src/currantspur/wire/admin/page.py
+++ b/src/currantspur/wire/admin/page.py
@@ -51,7 +51,7 @@
 
     __slots__ = ('cell',)
 
-    def __init__(self, cell: Any) -> None:
+    def __init__(self, *, cell: Any) -> None:
         self.cell = cell
 
 
@@ -87,12 +87,12 @@
     )
     yield from _print_table(
         'Regions',
-        ('region', 'zones', 'intake a second', 'part here', 'asked here'),
+        ('region', 'zones', 'intake a second', 'part here', 'left here'),
         _rows_regions(model),
     )
     yield from _print_table(
         'Teams',
-        ('team', 'rate', 'burst', 'part here', 'left here', 'asked here'),
+        ('team', 'rate', 'burst', 'part here', 'left here', 'spent here'),
         _rows_teams(model),
     )
     yield from _print_table(
@@ -115,7 +115,7 @@
         member.instance.name,
         member.instance.availability_zone,
         member.instance.state,
-        member.version if is_current else Warned(member.version),
+        member.version if is_current else Warned(cell=member.version),
         member.fresh_age_s,
     ]
 
@@ -129,7 +129,7 @@
             ', '.join(region.availability_zones),
             region.intake_rate,
             use.part.rate if use else None,
-            _mark_demand(use),
+            _mark_level(use),
         ]
 
 
@@ -142,8 +142,8 @@
             team.rate,
             team.burst,
             use.part.rate if use else None,
-            use.level if use else None,
-            _mark_demand(use),
+            _mark_level(use),
+            use.spent if use else None,
         ]
 
 
@@ -170,11 +170,11 @@
     ]
 
 
-def _mark_demand(use: LimitUse | None) -> Any:
+def _mark_level(use: LimitUse | None) -> Any:
     if use is None:
         return None
-    is_near = use.part.rate > 0 and use.demand > NEAR_SHARE * use.part.rate
-    return Warned(use.demand) if is_near else use.demand
+    is_near = use.level < (1 - NEAR_SHARE) * use.part.burst
+    return Warned(cell=use.level) if is_near else use.level
 
 
 def _print_table(
--- a/src/currantspur/wire/admin/queries.py
+++ b/src/currantspur/wire/admin/queries.py
@@ -9,7 +9,14 @@
 from currantspur.decisions.forecast import foresee
 from currantspur.errors import RejectedError
 from currantspur.messages import Configuration, Head, Question
-from currantspur.messages.operators import DrainQuery, Snapshot, SnapshotQuery
+from currantspur.messages.operators import (
+    DrainQuery,
+    LimitUse,
+    Snapshot,
+    SnapshotQuery,
+    UseQuery,
+    UseReport,
+)
 from currantspur.platform.history import (
     has_configuration,
     read_past,
@@ -165,7 +172,7 @@
             members=await ask_members(
                 services.peers, snapshot, services.instance
             ),
-            uses=(),
+            uses=await self.ask_uses(),
             decisions=await services.journal.ask(
                 Question(limit=PAGE_DECISIONS)
             ),
@@ -262,6 +269,11 @@
             }
         )
 
+    async def ask_uses(self) -> tuple[LimitUse, ...]:
+        """Return the use of each limit here."""
+        report: UseReport = await self.services.admission.ask(UseQuery())
+        return report.uses
+
     async def ask_snapshot(self) -> Snapshot:
         """Return what is in force here."""
         snapshot: Snapshot = await self.services.administration.ask(
--- a/src/currantspur/wire/admin/readings.py
+++ b/src/currantspur/wire/admin/readings.py
@@ -7,12 +7,7 @@
 from prometheus_client.core import GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
-from currantspur.messages import (
-    Configuration,
-    Part,
-    name_region_limit,
-    name_team_limit,
-)
+from currantspur.decisions.limits import total_limits
 from currantspur.messages.operators import LimitUse, Snapshot
 
 LABELS_LIMIT = 1000
@@ -26,7 +21,7 @@
     ('level', 'Tokens left here.', attrgetter('level')),
     ('lent', 'Tokens lent to other instances.', attrgetter('lent')),
     ('borrowed', 'Tokens borrowed and not yet spent.', attrgetter('borrowed')),
-    ('demand', 'Tokens a second asked for here.', attrgetter('demand')),
+    ('spent', 'Tokens spent here since the start.', attrgetter('spent')),
 )
 
 
@@ -79,7 +74,7 @@
     snapshot: Snapshot, uses: Iterable[LimitUse]
 ) -> Iterator[Metric]:
     """Yield the total of each limit, and the part and its use here."""
-    totals = list_totals(snapshot.configuration)
+    totals = total_limits(snapshot.configuration)
     known = sorted(totals)[:LABELS_LIMIT]
     by_limit = {use.limit: use for use in uses}
     held = {name: by_limit[name] for name in known if name in by_limit}
@@ -93,21 +88,6 @@
         )
 
 
-def list_totals(configuration: Configuration) -> dict[str, Part]:
-    """Return the totals of the teams' and regions' limits by name."""
-    teams = {
-        name_team_limit(team.name): Part(rate=team.rate, burst=team.burst)
-        for team in configuration.teams
-    }
-    regions = {
-        name_region_limit(region.name): Part(
-            rate=region.intake_rate, burst=region.intake_burst
-        )
-        for region in configuration.regions
-    }
-    return {**teams, **regions}
-
-
 def _gauge(reading: str, text: str, by_limit: dict[str, float]) -> Metric:
     gauge = GaugeMetricFamily(
         f'currantspur_limit_{reading}', text, labels=('limit',)
--- a/src/currantspur/wire/admin/services.py
+++ b/src/currantspur/wire/admin/services.py
@@ -11,6 +11,7 @@
 
     __slots__ = (
         'administration',
+        'admission',
         'changes',
         'instance',
         'journal',
@@ -24,6 +25,7 @@
         *,
         instance: Instance,
         administration: Mailbox,
+        admission: Mailbox,
         changes: Mailbox,
         journal: Mailbox,
         steering: Mailbox,
@@ -32,6 +34,7 @@
     ) -> None:
         self.instance = instance
         self.administration = administration
+        self.admission = admission
         self.changes = changes
         self.journal = journal
         self.steering = steering
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -19,6 +19,7 @@
 )
 from currantspur.tasks import (
     AdministrationTask,
+    AdmissionTask,
     ChangeTask,
     DirectCommitter,
     Journal,
@@ -69,6 +70,7 @@
             trusted=(TRUSTED,),
         )
         self.journal = Journal()
+        self.admission = AdmissionTask(clock=SystemClock(), freshness_s=1.5)
         self.steering = SteeringTask(
             clock=SystemClock(),
             journal=self.journal.mailbox,
@@ -84,6 +86,7 @@
                     availability_zone='north-1',
                 ),
                 administration=self.task.mailbox,
+                admission=self.admission.mailbox,
                 changes=self.changes.mailbox,
                 journal=self.journal.mailbox,
                 steering=self.steering.mailbox,
@@ -95,7 +98,13 @@
         )
 
     async def open(self):
-        for one in (self.task, self.changes, self.journal, self.steering):
+        for one in (
+            self.task,
+            self.changes,
+            self.journal,
+            self.steering,
+            self.admission,
+        ):
             job = asyncio.create_task(one.run())
             self.stack.callback(job.cancel)
         runner = web.AppRunner(self.listener.application(), access_log=None)
--- a/tests/test_page.py
+++ b/tests/test_page.py
@@ -57,7 +57,7 @@
     part=Part(rate=4.0, burst=2.0),
     level=1.5,
     lent=0.5,
-    demand=3.9,
+    spent=3.9,
 )
 
 
@@ -116,7 +116,7 @@
         'currantspur_limit_part_rate{limit="team/a0"} 4.0',
         'currantspur_limit_level{limit="team/a0"} 1.5',
         'currantspur_limit_lent{limit="team/a0"} 0.5',
-        'currantspur_limit_demand{limit="team/a0"} 3.9',
+        'currantspur_limit_spent{limit="team/a0"} 3.9',
     ],
 )
 def test_readings(line):
@@ -125,7 +125,7 @@
         part=USE.part,
         level=USE.level,
         lent=USE.lent,
-        demand=USE.demand,
+        spent=USE.spent,
     )
     stray = LimitUse(limit='team/gone', part=USE.part, level=0.0)
     printed = print_readings(describe('a'), (use, stray)).decode()
