--- a/src/currantspur/wire/admin/queries.py
+++ b/src/currantspur/wire/admin/queries.py
@@ -9,7 +9,7 @@
 from currantspur.decisions.forecast import foresee
 from currantspur.errors import RejectedError
 from currantspur.messages import Configuration, Head, Question
-from currantspur.messages.operators import Snapshot, SnapshotQuery
+from currantspur.messages.operators import DrainQuery, Snapshot, SnapshotQuery
 from currantspur.platform.history import (
     has_configuration,
     read_past,
@@ -33,10 +33,13 @@
     malformed,
     read_form,
 )
+from currantspur.wire.admin.page import PageModel, print_page
 from currantspur.wire.admin.route import AdminRoute
 from currantspur.wire.admin.services import AdminServices
 
 HISTORY_LIMIT = 256
+PAGE_DECISIONS = 50
+PAGE_POLICY = "default-src 'none'; style-src 'unsafe-inline'"
 TEXT = Field('text', limit=TEXT_LIMIT)
 FILE = Field('file', default='configuration')
 LIMIT = Field('limit', 'whole', default=HISTORY_LIMIT)
@@ -64,6 +67,12 @@
     def routes(self) -> list[AdminRoute]:
         """List the routes."""
         return [
+            AdminRoute(
+                'GET',
+                '/',
+                self.show_page,
+                summary='Page with regions, teams, drains and decisions.',
+            ),
             AdminRoute(
                 'GET',
                 '/v1/status',
@@ -146,6 +155,27 @@
             }
         )
 
+    async def show_page(self, _request: web.Request) -> web.Response:
+        """Print the operators' page."""
+        services = self.services
+        snapshot = await self.ask_snapshot()
+        model = PageModel(
+            instance=services.instance.name,
+            snapshot=snapshot,
+            members=await ask_members(
+                services.peers, snapshot, services.instance
+            ),
+            uses=(),
+            decisions=await services.journal.ask(
+                Question(limit=PAGE_DECISIONS)
+            ),
+        )
+        return web.Response(
+            text=print_page(model),
+            content_type='text/html',
+            headers={'Content-Security-Policy': PAGE_POLICY},
+        )
+
     async def show_configuration(self, request: web.Request) -> web.Response:
         """Show a configuration as YAML."""
         version = read_query(request, 'version', 'whole', 0)
@@ -200,9 +230,15 @@
     async def show_drains(self, _request: web.Request) -> web.Response:
         """List the drains."""
         snapshot = await self.ask_snapshot()
+        told = await self.services.steering.ask(DrainQuery())
+        progress = {one.drain_id: to_plain(one) for one in told}
         return encode_json(
             [
-                {**to_plain(drain), 'state': name_state(drain, snapshot.unix_s)}
+                {
+                    **to_plain(drain),
+                    'state': name_state(drain, snapshot.unix_s),
+                    **progress.get(drain.drain_id, {}),
+                }
                 for drain in snapshot.configuration.drains
             ]
         )
