--- a/bench/carrying.py
+++ b/bench/carrying.py
@@ -13,7 +13,7 @@
 from bench.queues import Crowd, Service, Simulation, quantile
 from currantspur.decisions.identity import mint_key
 from currantspur.decisions.latency_queue import LatencyQueue
-from currantspur.decisions.queueing import Arrivals, FairQueue
+from currantspur.decisions.queueing import ArrivalQueue, FairQueue
 from currantspur.messages import Configuration, Steering, Team
 from currantspur.standins.workloads import ETIQUETA_CLARA
 
@@ -169,7 +169,7 @@
         rates = {'large': 60.0, 'middle': 30.0, 'small': 4.0, 'tiny': 2.0}
         crowd = Crowd(rates=rates, flooder='large', excess=5)
         service = Service(slots=12, seconds=0.1, deadline_s=1)
-        for policy in (Arrivals(), FairQueue(), LatencyQueue()):
+        for policy in (ArrivalQueue(), FairQueue(), LatencyQueue()):
             simulation = Simulation(policy=policy, crowd=crowd, service=service)
             tallies = simulation.run(seed=seed, seconds=60)
             others = [
--- a/src/currantspur/decisions/queueing.py
+++ b/src/currantspur/decisions/queueing.py
@@ -106,7 +106,7 @@
         return self.order
 
 
-class Arrivals(QueuePolicy):
+class ArrivalQueue(QueuePolicy):
     """Serve in the order of arrival, as a baseline to compare with."""
 
     __slots__ = ('line',)
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -5,7 +5,7 @@
 from bench.queues import Crowd, Service, Simulation, quantile
 from currantspur.decisions.ejection import Ejector
 from currantspur.decisions.latency_queue import LatencyQueue, choose_policy
-from currantspur.decisions.queueing import Arrivals, FairQueue, Pace, Waiter
+from currantspur.decisions.queueing import ArrivalQueue, FairQueue, Pace, Waiter
 from currantspur.decisions.retries import RetryBudget, may_send_again
 
 PACE = Pace(slots=3, seconds=0.1)
@@ -32,8 +32,8 @@
 @pytest.mark.parametrize(
     ('policy', 'arrivals', 'weights', 'limit', 'shed', 'order'),
     [
-        (Arrivals, 'aaabbc', {}, 9, '', 'aaabbc'),
-        (Arrivals, 'aaabbc', {}, 3, 'bbc', 'aaa'),
+        (ArrivalQueue, 'aaabbc', {}, 9, '', 'aaabbc'),
+        (ArrivalQueue, 'aaabbc', {}, 3, 'bbc', 'aaa'),
         (FairQueue, 'aaabbc', {}, 9, '', 'aaabbc'),
         (FairQueue, 'aaaaabc', {}, 9, '', 'aaabcaa'),
         (FairQueue, 'aaaaabbbbb', {'a': 2}, 99, '', 'aaaaabbbbb'),
@@ -68,7 +68,7 @@
     assert fill(queue, 'a', deadline=deadline, pace=pace) == shed
 
 
-@pytest.mark.parametrize('policy', [Arrivals, FairQueue, LatencyQueue])
+@pytest.mark.parametrize('policy', [ArrivalQueue, FairQueue, LatencyQueue])
 def test_dropped_and_expired_requests_leave(policy):
     queue = policy()
     waiters = [
@@ -86,7 +86,7 @@
     assert (queue.pop(), queue.size, queue.next_deadline()) == (None, 0, None)
 
 
-@pytest.mark.parametrize('policy', [Arrivals, FairQueue, LatencyQueue])
+@pytest.mark.parametrize('policy', [ArrivalQueue, FairQueue, LatencyQueue])
 def test_abandoned_requests_do_not_pile_up(policy):
     queue = policy(limit=10)
     for index, team in zip(range(2_000), cycle('ab'), strict=False):
@@ -103,7 +103,7 @@
 def test_a_flood_harms_nobody_else(policy, flooder, seed):
     crowd = Crowd(rates=RATES, flooder=flooder, excess=5)
     outcome = {}
-    for kind in (Arrivals, policy):
+    for kind in (ArrivalQueue, policy):
         simulation = Simulation(policy=kind(), crowd=crowd, service=SERVICE)
         tallies = simulation.run(seed=seed, seconds=30)
         outcome[kind] = [
@@ -118,8 +118,8 @@
         for kind, tallies in outcome.items()
     }
     # What is left came faster than a team's rate and burst allow.
-    assert refused[policy] * 50 <= refused[Arrivals]
-    assert waits[policy] <= waits[Arrivals]
+    assert refused[policy] * 50 <= refused[ArrivalQueue]
+    assert waits[policy] <= waits[ArrivalQueue]
 
 
 @pytest.mark.parametrize(
