--- a/src/currantspur/wire/listener.py
+++ b/src/currantspur/wire/listener.py
@@ -6,11 +6,8 @@
 from typing import Any
 from uuid import uuid4
 
-import orjson
 from aiohttp import ClientError, StreamReader, web
-from aiohttp.hdrs import METH_HEAD
 from aiohttp.typedefs import Handler
-from multidict import CIMultiDict
 from opentelemetry.context import Context
 from opentelemetry.propagate import extract, inject
 from opentelemetry.trace import NoOpTracer, Tracer
@@ -23,7 +20,6 @@
     AnswerChunk,
     AnswerHead,
     Arrival,
-    LookupAnswer,
     LookupQuery,
     Outgoing,
     Refusal,
@@ -38,6 +34,12 @@
 from currantspur.tasks.attempts import Part
 from currantspur.tasks.tracing import open_span
 from currantspur.wire import headers as names
+from currantspur.wire.answers import (
+    close_response,
+    encode_lookup,
+    is_short,
+    open_response,
+)
 from currantspur.wire.errors import encode_refusal
 from currantspur.wire.telemetry import Metrics
 
@@ -46,9 +48,6 @@
 LOOKUP_PATH = '/-/entries'
 ID_LIMIT = 128
 DIGITS_LIMIT = 12
-SHORT_BYTES = 16_384
-CONTENT_LENGTH = 'content-length'
-BODYLESS_STATUSES = frozenset((204, 304))
 
 
 class Listener:
@@ -305,59 +304,3 @@
             return await self.content.readany()
         except (ClientError, OSError, web.RequestPayloadError) as error:
             raise ConnectionResetError('body cut') from error
-
-
-def open_response(head: AnswerHead, request_id: str) -> web.StreamResponse:
-    """Return a response with the head of an answer."""
-    response = web.StreamResponse(status=head.status)
-    for name, line in head.headers:
-        response.headers.add(name, line)
-    response.headers[names.REQUEST_ID_HEADER] = request_id
-    return response
-
-
-def is_short(request: web.Request, head: AnswerHead) -> bool:
-    """Tell whether an answer is better sent in one piece."""
-    if request.method == METH_HEAD or head.status in BODYLESS_STATUSES:
-        return False
-    announced = [
-        line for name, line in head.headers if name.lower() == CONTENT_LENGTH
-    ]
-    return bool(announced) and int(announced[0]) <= SHORT_BYTES
-
-
-def close_response(
-    head: AnswerHead, request_id: str, body: bytes
-) -> web.Response:
-    """Return a response with a whole answer."""
-    headers = CIMultiDict(
-        (name, line)
-        for name, line in head.headers
-        if name.lower() != CONTENT_LENGTH
-    )
-    headers[names.REQUEST_ID_HEADER] = request_id
-    return web.Response(status=head.status, headers=headers, body=body)
-
-
-def encode_lookup(answer: LookupAnswer) -> web.Response:
-    """Return the documented JSON form of a look-up's answer."""
-    entries = [
-        {
-            'instance': entry.instance,
-            'address': entry.address,
-            'availability_zone': entry.availability_zone,
-            'weight': entry.weight,
-        }
-        for entry in answer.entries
-    ]
-    return web.Response(
-        body=orjson.dumps(
-            {
-                'entries': entries,
-                'cache_s': answer.cache_s,
-                'site': answer.site,
-            }
-        ),
-        content_type='application/json',
-        headers={'Cache-Control': f'max-age={int(answer.cache_s)}'},
-    )
