Read the base version from the instance in the operators' path test

Cause: the fleet of stand-ins now changes through an operator and keeps no count of versions of its own; the test read that count. Change: the base is the version in force on the instance asked. Before: AttributeError. Conclusion: same checks, other source of the number.

--- a/tests/test_operators_path.py
+++ b/tests/test_operators_path.py
@@ -81,7 +81,8 @@
 
     run = partial(run_command, capsys, file)
     assert (await run('diff FILE'))[0] == 1
-    code, _ = await run(f'apply FILE --base {fleet.version} --wait')
+    base = fleet.daemons[1].control.follower.version
+    code, _ = await run(f'apply FILE --base {base} --wait')
     assert code == 0
     code, printed = await run('keys issue export --wait')
     assert code == 0
