--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -19,9 +19,9 @@
 from currantspur.tasks.exchange import Exchange
 from currantspur.tasks.health import HealthPort, HealthTask
 from currantspur.tasks.journal import Journal
+from currantspur.tasks.limits import Limits
 from currantspur.tasks.mailbox import Letter, Mailbox
 from currantspur.tasks.peers import PeerPort
-from currantspur.tasks.shares import EqualShares
 from currantspur.tasks.steering import SteeringTask
 from currantspur.tasks.targets import TargetPool
 from currantspur.tasks.task import Task
@@ -40,12 +40,12 @@
     'Control',
     'DecisionWriter',
     'DirectCommitter',
-    'EqualShares',
     'Exchange',
     'HealthPort',
     'HealthTask',
     'Journal',
     'Letter',
+    'Limits',
     'Mailbox',
     'PeerPort',
     'QuorumCommitter',
