--- a/tests/test_limit_tasks.py
+++ b/tests/test_limit_tasks.py
@@ -201,6 +201,43 @@
     assert len(planner.committer.changes) == plans
 
 
+@pytest.mark.parametrize(('seconds', 'plans'), [(4.9, 0), (5.5, 1)])
+async def test_a_young_planner_keeps_the_plan(seconds, plans):
+    clock = VirtualClock()
+    planner = open_planner(clock, 0)
+    plan = plan_limits(describe(), MEMBERS, {}, Plan())
+    planner.learn(open_version(2, describe(), plan))
+    planner.learn(Membership(instances=MEMBERS[:1]))
+    planner.instance = MEMBERS[0].name
+    job = asyncio.create_task(planner.run())
+    await clock.advance(seconds)
+    job.cancel()
+    assert len(planner.committer.changes) == plans
+
+
+@pytest.mark.parametrize(
+    ('before', 'members', 'seconds', 'plans'),
+    [
+        (MEMBERS, MEMBERS[:2], 0.8, 0),
+        (MEMBERS, MEMBERS[:2], 3.5, 1),
+        (MEMBERS[:2], MEMBERS, 0.8, 1),
+    ],
+)
+async def test_who_joined_gets_a_part_soon(before, members, seconds, plans):
+    clock = VirtualClock()
+    planner = open_planner(clock, 0)
+    await clock.advance(6)
+    plan = plan_limits(describe(), before, {}, Plan())
+    planner.learn(open_version(2, describe(), plan))
+    planner.needed_at = None
+    planner.learn(Membership(instances=members))
+    planner.instance = rank_members(SUBJECT, members)[0].name
+    job = asyncio.create_task(planner.run())
+    await clock.advance(seconds)
+    job.cancel()
+    assert len(planner.committer.changes) == plans
+
+
 class FakePeers(PeerPort):
     """Carry loans between admission tasks; a fault strikes each call."""
 
