Wait for parts, not for a fixed time, in the fleet of stand-ins

Two planners had raced, so the parts grew later than the 3 s the fleet waited. Ruled out: the limit itself (the key's team had spent nothing). Change: the fleet is settled when every instance runs the version and the parts in effect sum to the rates, plus 1 s for buckets that start empty. Conclusion: a fresh fleet refuses for some seconds until its first plan counts.

--- a/src/currantspur/standins/fleet.py
+++ b/src/currantspur/standins/fleet.py
@@ -1,12 +1,18 @@
 """Run a whole fleet on loopback in one process."""
 
 import asyncio
+from collections.abc import Iterable, Iterator
 from contextlib import AsyncExitStack
 
 from aiohttp import web
 
 from currantspur.daemon import Daemon
-from currantspur.messages import Configuration
+from currantspur.messages import (
+    Configuration,
+    Part,
+    name_region_limit,
+    name_team_limit,
+)
 from currantspur.platform import Platform
 from currantspur.settings import DaemonSettings
 from currantspur.standins.faults import FaultTable
@@ -17,7 +23,12 @@
 from currantspur.tasks.clock import SystemClock
 
 HOST = '127.0.0.1'
-SETTLE_S = 3.0
+# Parts grow once no instance can still use an older plan.
+LONGEST_SETTLE_S = 30.0
+STEP_S = 0.05
+NEARLY_ALL = 0.99
+# Buckets start empty.
+EARN_S = 1.0
 
 
 class Fleet:
@@ -86,10 +97,41 @@
         return f'{HOST}:{port}'
 
     async def apply(self, configuration: Configuration) -> None:
-        """Publish a configuration and wait until it is in force."""
-        await self.operator.apply(configuration)
-        await asyncio.sleep(SETTLE_S)
+        """Publish a configuration; wait until it and its parts are in force."""
+        head = await self.operator.apply(configuration)
+        async with asyncio.timeout(LONGEST_SETTLE_S):
+            while not self._is_settled(configuration, head.version):
+                await asyncio.sleep(STEP_S)
+        await asyncio.sleep(EARN_S)
 
     async def count_runs(self, key: str) -> int:
         """Return how often a submission ran on all targets together."""
         return sum(target.runs[key] for target in self.targets.values())
+
+    def _is_settled(self, configuration: Configuration, version: int) -> bool:
+        followers = [daemon.control.follower for daemon in self.daemons]
+        if any(follower.version < version for follower in followers):
+            return False
+        told = [daemon.limits.allotment.told for daemon in self.daemons]
+        parts = [one.by_limit for one in told if one is not None]
+        return all(
+            sum_rates(parts, limit) >= NEARLY_ALL * rate
+            for limit, rate in self._list_limits(configuration)
+        )
+
+    def _list_limits(
+        self, configuration: Configuration
+    ) -> Iterator[tuple[str, float]]:
+        for team in configuration.teams:
+            yield name_team_limit(team.name), team.rate
+        served = {daemon.settings.availability_zone for daemon in self.daemons}
+        for region in configuration.regions:
+            zones = set(region.availability_zones)
+            # A zone without instances keeps its share of the region's limit.
+            share = len(served & zones) / max(1, len(zones))
+            yield name_region_limit(region.name), share * region.intake_rate
+
+
+def sum_rates(parts: Iterable[dict[str, Part]], limit: str) -> float:
+    """Return the tokens a second that instances hold of a limit together."""
+    return sum(by_limit[limit].rate for by_limit in parts if limit in by_limit)
