Go on after a failed batch, and end a daemon whose task ended

Cause: a task whose receive raised ended without a word, and everybody who asked it waited for ever; two developers met it. Ruled out: letting the task end and the daemon go on (look-ups without answers). Conclusion: one message can no longer take an instance out silently.

--- a/src/currantspur/cli/daemons.py
+++ b/src/currantspur/cli/daemons.py
@@ -14,6 +14,7 @@
 from currantspur.cli.application import app
 from currantspur.daemon import Daemon
 from currantspur.demo import run_demo
+from currantspur.errors import TaskFailedError
 from currantspur.settings import read_daemon_settings
 from currantspur.standins import (
     PlatformStandin,
@@ -60,7 +61,13 @@
 async def _run_daemon(kind: type[Daemon], settings: Any) -> None:
     daemon = kind(settings)
     await daemon.start()
-    await _wait_for_signal()
+    signalled = asyncio.create_task(_wait_for_signal())
+    await asyncio.wait(
+        (signalled, daemon.failure), return_when=asyncio.FIRST_COMPLETED
+    )
+    if daemon.failure.done():
+        await daemon.stop()
+        raise TaskFailedError(type(daemon.failure.result()).__name__)
     hurried = asyncio.create_task(_wait_for_signal())
     await daemon.leave(hurried)
     hurried.cancel()
--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -58,6 +58,7 @@
         'clock',
         'control',
         'decisions',
+        'failure',
         'health',
         'jobs',
         'journal',
@@ -160,6 +161,9 @@
             tracer=self.tracer,
         )
         self.jobs: list[asyncio.Task[None]] = []
+        self.failure: asyncio.Future[BaseException | None] = (
+            asyncio.get_running_loop().create_future()
+        )
         self.runners: list[Any] = []
 
     async def start(self) -> None:
@@ -239,7 +243,16 @@
         await self.client.close()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        self.jobs.append(asyncio.create_task(work))
+        job = asyncio.create_task(work)
+        job.add_done_callback(self._note_end)
+        self.jobs.append(job)
+
+    def _note_end(self, job: 'asyncio.Task[None]') -> None:
+        if job.cancelled() or self.failure.done():
+            return
+        error = job.exception()
+        logger.error('a task ended: {}', type(error).__name__)
+        self.failure.set_result(error)
 
     def _open_sweep(self) -> ClaimSweep:
         return ClaimSweep(
--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -80,6 +80,10 @@
     """Report a load run that may not start."""
 
 
+class TaskFailedError(CurrantspurError):
+    """Report that a task failed while it handled a message."""
+
+
 class MailboxFullError(CurrantspurError):
     """Report that a task has more waiting messages than it may hold."""
 
--- a/src/currantspur/tasks/mailbox.py
+++ b/src/currantspur/tasks/mailbox.py
@@ -4,7 +4,7 @@
 from collections import deque
 from typing import Any
 
-from currantspur.errors import MailboxFullError
+from currantspur.errors import MailboxFullError, TaskFailedError
 from currantspur.messages import Message
 
 MAILBOX_LIMIT = 20_000
@@ -26,6 +26,11 @@
         if self.reply is not None and not self.reply.done():
             self.reply.set_result(outcome)
 
+    def fail(self, error: Exception) -> None:
+        """Raise TaskFailedError at the asker, if it still waits."""
+        if self.reply is not None and not self.reply.done():
+            self.reply.set_exception(TaskFailedError(type(error).__name__))
+
 
 class Mailbox:
     """Queue letters for the one task that owns it."""
--- a/src/currantspur/tasks/task.py
+++ b/src/currantspur/tasks/task.py
@@ -2,6 +2,9 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
+from traceback import format_tb
+
+from loguru import logger
 
 from currantspur.tasks.mailbox import Letter, Mailbox
 
@@ -15,9 +18,17 @@
         self.mailbox = Mailbox()
 
     async def run(self) -> None:
-        """Receive letters until cancelled."""
+        """Receive letters until cancelled; a failure ends only its batch."""
         while True:
-            self.receive(await self.mailbox.take())
+            letters = await self.mailbox.take()
+            try:
+                self.receive(letters)
+            except Exception as error:
+                # The text of an error, or local values, may hold a key.
+                place = ''.join(format_tb(error.__traceback__))
+                logger.error('{} in a task\n{}', type(error).__name__, place)
+                for letter in letters:
+                    letter.fail(error)
 
     @abstractmethod
     def receive(self, letters: Iterable[Letter]) -> None:
--- a/src/currantspur/wire/listener.py
+++ b/src/currantspur/wire/listener.py
@@ -15,6 +15,7 @@
 from currantspur.errors import (
     MailboxFullError,
     TargetError,
+    TaskFailedError,
 )
 from currantspur.messages import (
     AnswerChunk,
@@ -179,6 +180,12 @@
             first = await anext(parts)
         except MailboxFullError:
             first = Refusal(code='overloaded', detail='the instance is full')
+        except TaskFailedError:
+            first = Refusal(
+                code='outcome_unknown',
+                detail='the instance failed',
+                not_run=False,
+            )
         if isinstance(first, Refusal):
             return self._refuse(first, request_id)
         if not isinstance(first, AnswerHead):
--- /dev/null
+++ b/tests/test_task.py
@@ -0,0 +1,67 @@
+import asyncio
+from contextlib import AsyncExitStack
+
+import pytest
+
+from currantspur.errors import TaskFailedError
+from currantspur.messages import Question
+from currantspur.standins.fleet import Fleet
+from currantspur.tasks import Task
+
+
+class Fragile(Task):
+    def receive(self, letters):
+        for letter in letters:
+            if letter.message.team == 'bad':
+                raise ZeroDivisionError
+            letter.answer(letter.message.team)
+
+
+@pytest.mark.parametrize(
+    ('teams', 'heard'),
+    [
+        (['good'], ['good']),
+        (['bad', 'good'], [TaskFailedError, 'good']),
+        (['bad', 'bad', 'good'], [TaskFailedError, TaskFailedError, 'good']),
+    ],
+)
+async def test_a_failure_ends_only_its_batch(teams, heard):
+    task = Fragile()
+    job = asyncio.create_task(task.run())
+    found = []
+    for team in teams:
+        try:
+            found.append(await task.mailbox.ask(Question(team=team)))
+        except TaskFailedError as error:
+            found.append(type(error))
+    job.cancel()
+    assert found == heard
+
+
+async def test_the_rest_of_a_failed_batch_does_not_hang():
+    task = Fragile()
+    asked = [
+        asyncio.create_task(task.mailbox.ask(Question(team=team)))
+        for team in ('good', 'bad', 'late')
+    ]
+    await asyncio.sleep(0)
+    job = asyncio.create_task(task.run())
+    found = await asyncio.gather(*asked, return_exceptions=True)
+    job.cancel()
+    assert found[0] == 'good'
+    assert {type(one) for one in found[1:]} == {TaskFailedError}
+
+
+async def fail():
+    raise ZeroDivisionError
+
+
+async def test_a_daemon_notes_that_a_task_ended():
+    async with AsyncExitStack() as stack:
+        fleet = Fleet(stack)
+        await fleet.open_daemons(('north-1',))
+        daemon = fleet.daemons[0]
+        assert not daemon.failure.done()
+        daemon._spawn(fail())
+        error = await asyncio.wait_for(daemon.failure, 5)
+        assert isinstance(error, ZeroDivisionError)
