Let planners wait for a reason instead of looking ten times a second

Every planner woke each 0.1 s, whether or not it could plan, and ranked all members each time a plan was needed. Ruled out: the store's polls (a single daemon spends 0.6 %). Change: a planner ticks only while a plan is needed that it may make; its rank is worked out when members change.

--- a/bench/http.py
+++ b/bench/http.py
@@ -49,7 +49,8 @@
                 Team(name='team-1', rate=PLENTY, burst=PLENTY),
             )
             for region in configuration.regions:
-                region.intake_rate = region.intake_burst = PLENTY
+                region.intake_rate = PLENTY
+                region.intake_burst = PLENTY
             await fleet.apply(configuration)
             await fleet.wait_ready()
             await asyncio.sleep(SETTLE_S)
--- a/src/currantspur/tasks/planner.py
+++ b/src/currantspur/tasks/planner.py
@@ -28,6 +28,7 @@
 from currantspur.tasks.waiting import wait_and_learn
 
 TICK_S = 0.1
+IDLE_S = 3600.0
 PLAN_S = 3.0
 RETRY_S = 0.5
 # A change of members or configuration is waited for this long, to batch.
@@ -58,6 +59,7 @@
         'needed_at',
         'plan',
         'planned_at',
+        'rank',
         'reason',
         'started_at',
     )
@@ -79,6 +81,7 @@
         self.plan = Plan()
         self.members: tuple[Instance, ...] = ()
         self.planned_at = float('-inf')
+        self.rank = PLANNERS
         self.started_at = clock.now()
         self.needed_at: float | None = None
         self.reason = ''
@@ -87,7 +90,12 @@
     async def run(self) -> None:
         """Receive what changes, and plan where it is needed."""
         while True:
-            await wait_and_learn(self.mailbox, self.clock, TICK_S, self.learn)
+            await wait_and_learn(
+                self.mailbox,
+                self.clock,
+                TICK_S if self.is_waiting() else IDLE_S,
+                self.learn,
+            )
             if self.is_due():
                 await self.commit()
 
@@ -97,13 +105,19 @@
             self.learn(letter.message)
 
     def learn(self, message: Message) -> bool:
-        """Note what a message says; nothing is urgent before the next tick."""
+        """Note what a message says; tell whether a plan is first needed now."""
+        was_waiting = self.is_waiting()
         if isinstance(message, InForce):
             self._apply(message)
         elif isinstance(message, Membership):
             self.members = message.instances
+            self.rank = self._rank()
             self._need(self._describe_members())
-        return False
+        return self.is_waiting() and not was_waiting
+
+    def is_waiting(self) -> bool:
+        """Tell whether a plan is needed that this instance may make."""
+        return self.needed_at is not None and self.rank < PLANNERS
 
     def is_due(self) -> bool:
         """Tell whether this instance has to plan now."""
@@ -112,13 +126,12 @@
         now = self.clock.now()
         if self.plan.allotments and now - self.started_at < YOUNG_S:
             return False
-        rank = self._rank()
         waited_s = now - self.needed_at
         # A new configuration has to be in force within seconds.
         pause_s = RETRY_S if self.reason in URGENT else PLAN_S
         return (
-            rank < PLANNERS
-            and waited_s >= BATCH_S + rank * TAKEOVER_S
+            self.is_waiting()
+            and waited_s >= BATCH_S + self.rank * TAKEOVER_S
             and now - self.planned_at >= pause_s
         )
 
