Give the coroutines of an instance a holder of their own

Change: Jobs starts, watches and stops them; the unused function is gone. Before and after: tests/test_task.py, test_fleet.py, test_leaving.py pass (13).

--- a/src/currantspur/cli/daemons.py
+++ b/src/currantspur/cli/daemons.py
@@ -63,11 +63,11 @@
     await daemon.start()
     signalled = asyncio.create_task(_wait_for_signal())
     await asyncio.wait(
-        (signalled, daemon.failure), return_when=asyncio.FIRST_COMPLETED
+        (signalled, daemon.jobs.failure), return_when=asyncio.FIRST_COMPLETED
     )
-    if daemon.failure.done():
+    if daemon.jobs.failure.done():
         await daemon.stop()
-        raise TaskFailedError(type(daemon.failure.result()).__name__)
+        raise TaskFailedError(type(daemon.jobs.failure.result()).__name__)
     hurried = asyncio.create_task(_wait_for_signal())
     await daemon.leave(hurried)
     hurried.cancel()
--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -1,7 +1,7 @@
 """Assemble the tasks, pipelines and listeners of one entry instance."""
 
 import asyncio
-from collections.abc import Coroutine, Iterator
+from collections.abc import Iterator
 from random import Random
 from ssl import SSLContext
 from typing import Any
@@ -11,6 +11,7 @@
 
 from currantspur.departure import Departure
 from currantspur.errors import PlatformError
+from currantspur.jobs import Jobs
 from currantspur.messages import Instance, Message
 from currantspur.settings import DaemonSettings
 from currantspur.tasks import (
@@ -58,7 +59,6 @@
         'clock',
         'control',
         'decisions',
-        'failure',
         'health',
         'jobs',
         'journal',
@@ -160,10 +160,7 @@
             metrics=self.metrics,
             tracer=self.tracer,
         )
-        self.jobs: list[asyncio.Task[None]] = []
-        self.failure: asyncio.Future[BaseException | None] = (
-            asyncio.get_running_loop().create_future()
-        )
+        self.jobs = Jobs()
         self.runners: list[Any] = []
 
     async def start(self) -> None:
@@ -187,11 +184,11 @@
             )
         await self.peer_server.start(settings.peer, self._open_peer_tls())
         for task in self._tasks():
-            self._spawn(task.run())
+            self.jobs.start(task.run())
         for work in self.control.runs():
-            self._spawn(work)
-        self._spawn(self.changes.run())
-        self._spawn(self._open_sweep().run())
+            self.jobs.start(work)
+        self.jobs.start(self.changes.run())
+        self.jobs.start(self._open_sweep().run())
         logger.info('{} listens at {}', settings.instance, settings.listen)
 
     def is_ready(self) -> bool:
@@ -229,9 +226,7 @@
             logger.warning('could not announce leaving: {}', error)
         while self.runners:
             await self.runners.pop(0).cleanup()
-        for job in self.jobs:
-            job.cancel()
-        await asyncio.gather(*self.jobs, return_exceptions=True)
+        await self.jobs.stop()
         await self._close()
         logger.info('{} stopped', self.settings.instance)
 
@@ -242,18 +237,6 @@
         await self.health.port.close()
         await self.client.close()
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        job = asyncio.create_task(work)
-        job.add_done_callback(self._note_end)
-        self.jobs.append(job)
-
-    def _note_end(self, job: 'asyncio.Task[None]') -> None:
-        if job.cancelled() or self.failure.done():
-            return
-        error = job.exception()
-        logger.error('a task ended: {}', type(error).__name__)
-        self.failure.set_result(error)
-
     def _open_sweep(self) -> ClaimSweep:
         return ClaimSweep(
             table=self.control.count('claim_sweep').table,
@@ -265,7 +248,7 @@
         if self.settings.tls is None:
             return None
         tls = CallerTls(self.settings.tls)
-        self._spawn(tls.watch(self.clock))
+        self.jobs.start(tls.watch(self.clock))
         return tls.context
 
     def _open_peer_tls(self) -> grpc.ServerCredentials | None:
@@ -273,7 +256,7 @@
             return None
         tls = PeerTls(self.settings.peer_tls)
         credentials = tls.open_server()
-        self._spawn(tls.watch(self.clock, self.peers.close))
+        self.jobs.start(tls.watch(self.clock, self.peers.close))
         return credentials
 
     def _peer_mailboxes(self) -> dict[type[Message], Mailbox]:
--- a/src/currantspur/load/arrivals.py
+++ b/src/currantspur/load/arrivals.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Iterable, Iterator
 
-from currantspur.load.messages import LoadSpec, Mix, Shot
+from currantspur.load.messages import LoadSpec, Shot
 
 ID_BITS = 64
 
@@ -52,13 +52,3 @@
                 path=shot.path,
                 submission=shot.submission,
             )
-
-
-def count_kinds(shots: Iterable[Shot]) -> dict[str, int]:
-    """Count shots by the name of their mix."""
-    counts: dict[str, int] = {}
-    for shot in shots:
-        mix: Mix | None = shot.mix
-        name = mix.name if mix else ''
-        counts[name] = counts.get(name, 0) + 1
-    return counts
--- a/tests/test_task.py
+++ b/tests/test_task.py
@@ -61,7 +61,7 @@
         fleet = Fleet(stack)
         await fleet.open_daemons(('north-1',))
         daemon = fleet.daemons[0]
-        assert not daemon.failure.done()
-        daemon._spawn(fail())
-        error = await asyncio.wait_for(daemon.failure, 5)
+        assert not daemon.jobs.failure.done()
+        daemon.jobs.start(fail())
+        error = await asyncio.wait_for(daemon.jobs.failure, 5)
         assert isinstance(error, ZeroDivisionError)
