Ask for an operator key before decisions are shown

Cause: GET /explain on the admin listener showed decisions, with names of teams and ids of requests, to anybody; it stayed because the demonstration used it. Change: only /v1/explain is left, with the read role; the fleet of stand-ins has an operator key and the demonstration uses it. Rows that stood twice in the interface page are gone. The test that greps for keys asks the route that is left. Before: 200 without a key. After: 404, and 401 on /v1/explain without a key; the tests of fleet, secrets, OpenAPI, administration and operators' path pass.

--- a/src/currantspur/demo.py
+++ b/src/currantspur/demo.py
@@ -102,7 +102,9 @@
     ]
     yield _expect('targets that saw the key', 0, len(seen))
     admin = fleet.daemons[0].settings.admin
-    async for step in _explain(session, admin, fleet.operator.version):
+    async for step in _explain(
+        session, admin, fleet.operator.version, fleet.operator_key
+    ):
         yield step
 
 
@@ -163,11 +165,18 @@
 
 
 async def _explain(
-    session: aiohttp.ClientSession, admin: str, version: int
+    session: aiohttp.ClientSession,
+    admin: str,
+    version: int,
+    operator_key: str,
 ) -> AsyncIterator[Step]:
     subject = f'version {version}'
-    url = f'http://{admin}/explain'
-    async with session.get(url, params={'subject': subject}) as response:
+    url = f'http://{admin}/v1/explain'
+    async with session.get(
+        url,
+        params={'subject': subject},
+        headers={'Authorization': f'Bearer {operator_key}'},
+    ) as response:
         decisions = orjson.loads(await response.read())
     shown = [
         f'{one["subject"]} {one["action"]}: {one["reason"]}'
--- a/src/currantspur/standins/fleet.py
+++ b/src/currantspur/standins/fleet.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from currantspur.daemon import Daemon
+from currantspur.decisions.operators import mint_operator_key
 from currantspur.messages import (
     Configuration,
     Part,
@@ -38,7 +39,9 @@
         'daemons',
         'faults',
         'operator',
+        'operator_key',
         'platform',
+        'reader',
         'stack',
         'targets',
     )
@@ -49,6 +52,9 @@
         self.targets: dict[str, TargetStandin] = {}
         self.daemons: list[Daemon] = []
         self.faults = FaultTable(SystemClock())
+        secret, kept = mint_operator_key('demo', 'read')
+        self.operator_key = secret
+        self.reader = kept
         self.operator = OperatorStandin(self.platform, name='demo')
         stack.push_async_callback(self.operator.close)
 
@@ -82,6 +88,7 @@
                 peer=await self.find_free_address(),
                 admin=await self.find_free_address(),
                 platform=address,
+                operators=(self.reader,),
             )
             daemon = Daemon(settings)
             await daemon.start()
--- a/src/currantspur/wire/admin/listener.py
+++ b/src/currantspur/wire/admin/listener.py
@@ -11,7 +11,7 @@
 from currantspur.wire.admin.openapi import describe_api
 from currantspur.wire.admin.orders import Orders
 from currantspur.wire.admin.proposals import Proposals
-from currantspur.wire.admin.queries import EXPLAIN_QUERY, Queries
+from currantspur.wire.admin.queries import Queries
 from currantspur.wire.admin.readings import print_readings
 from currantspur.wire.admin.route import AdminRoute
 from currantspur.wire.admin.services import AdminServices
@@ -83,14 +83,6 @@
                 summary='Whether a version is in force.',
                 role=None,
             ),
-            AdminRoute(
-                'GET',
-                '/explain',
-                self.queries.explain,
-                summary='Automatic decisions, the oldest first.',
-                role=None,
-                query=EXPLAIN_QUERY,
-            ),
             AdminRoute(
                 'GET',
                 '/v1/openapi.json',
--- a/tests/test_secrets.py
+++ b/tests/test_secrets.py
@@ -38,7 +38,7 @@
     ('admin', 'GET', '/v1/history', {}),
     ('admin', 'POST', '/v1/changes', {}),
     ('admin', 'GET', '/nowhere', {}),
-    ('admin', 'GET', '/explain', {}),
+    ('admin', 'GET', '/v1/explain', {}),
     ('admin', 'GET', '/metrics', {}),
     ('admin', 'GET', '/', {}),
 ]
