Close what was opened when an address is in use

Cause: a daemon whose address was taken said so and exited 2, but left four client sessions open, which the library then complained of. Change: a start that cannot listen ends in the same way as a stop. Before: four 'Unclosed client session' lines. Conclusion: one way to end, whatever the reason.

--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from currantspur.departure import Departure
-from currantspur.errors import PlatformError
+from currantspur.errors import ListenError, PlatformError
 from currantspur.jobs import Jobs
 from currantspur.messages import Instance, Message
 from currantspur.settings import DaemonSettings
@@ -165,31 +165,20 @@
 
     async def start(self) -> None:
         """Listen and start every task; raise ListenError where one cannot."""
-        admin = AdminListener(
-            services=self._open_services(),
-            metrics=self.metrics,
-            is_ready=self.is_ready,
-        )
-        settings = self.settings
-        for application, address, context in (
-            (
-                self.listener.application(),
-                settings.listen,
-                self._open_caller_tls(),
-            ),
-            (admin.application(), settings.admin, None),
-        ):
-            self.runners.append(
-                await open_server(application, address, context)
-            )
-        await self.peer_server.start(settings.peer, self._open_peer_tls())
+        try:
+            await self._listen()
+        except ListenError:
+            await self._end()
+            raise
         for task in self._tasks():
             self.jobs.start(task.run())
         for work in self.control.runs():
             self.jobs.start(work)
         self.jobs.start(self.changes.run())
         self.jobs.start(self._open_sweep().run())
-        logger.info('{} listens at {}', settings.instance, settings.listen)
+        logger.info(
+            '{} listens at {}', self.settings.instance, self.settings.listen
+        )
 
     def is_ready(self) -> bool:
         """Tell whether a version is in force."""
@@ -224,18 +213,41 @@
             await self.control.membership_reader.leave()
         except PlatformError as error:
             logger.warning('could not announce leaving: {}', error)
+        await self._end()
+        logger.info('{} stopped', self.settings.instance)
+
+    async def _listen(self) -> None:
+        admin = AdminListener(
+            services=self._open_services(),
+            metrics=self.metrics,
+            is_ready=self.is_ready,
+        )
+        settings = self.settings
+        for application, address, context in (
+            (
+                self.listener.application(),
+                settings.listen,
+                self._open_caller_tls(),
+            ),
+            (admin.application(), settings.admin, None),
+        ):
+            self.runners.append(
+                await open_server(application, address, context)
+            )
+        await self.peer_server.start(settings.peer, self._open_peer_tls())
+
+    async def _end(self) -> None:
         while self.runners:
             await self.runners.pop(0).cleanup()
         await self.jobs.stop()
-        await self._close()
-        logger.info('{} stopped', self.settings.instance)
-
-    async def _close(self) -> None:
-        await self.peer_server.stop()
-        await self.peers.close()
-        await self.targets.close()
-        await self.health.port.close()
-        await self.client.close()
+        for close in (
+            self.peer_server.stop,
+            self.peers.close,
+            self.targets.close,
+            self.health.port.close,
+            self.client.close,
+        ):
+            await close()
 
     def _open_sweep(self) -> ClaimSweep:
         return ClaimSweep(
