Refuse at once where a service has no target

Cause: a request for a service without any target waited out its whole deadline (5 s seen) before it was refused. Change: the pool refuses it when it asks for a slot; the refusal says not run. Before: the new row for a first attempt finds 'waits'. After: it passes, and so do the tests of pool, limits, target faults, claims and fleet. Conclusion: a slot that nobody can give is not worth a wait.

--- a/src/currantspur/tasks/targets.py
+++ b/src/currantspur/tasks/targets.py
@@ -120,6 +120,11 @@
         if request.attempt:
             self._retry(letter, request)
             return
+        if request.service not in self.table.by_service:
+            letter.answer(
+                Refusal(code='overloaded', detail='the service has no target'),
+            )
+            return
         self.budget.earn()
         queue = self.queues.get(request.service)
         if not (queue and queue.size) and self._assign(letter, request):
--- a/tests/test_target_pool.py
+++ b/tests/test_target_pool.py
@@ -225,3 +225,12 @@
     seen = [describe(rig.ask(deadline=9)) for _ in range(13)]
     assert seen.count('waits') == waiting
     assert seen.count('overloaded') == 12 - waiting
+
+
+@pytest.mark.parametrize(
+    ('targets', 'attempt', 'found'),
+    [(0, 0, 'overloaded'), (0, 1, 'overloaded'), (1, 0, 'target-0')],
+)
+async def test_no_target_is_refused_at_once(targets, attempt, found):
+    rig = Rig(targets=targets)
+    assert describe(rig.ask(attempt=attempt)) == found
