Write the bench's settings with the project's own function

Cause: to_plain_settings mapped names to plain values; to_plain does that itself since it takes mappings. Change: the bench calls to_plain; the copy is gone. The suite was not run again: no test uses this module. Conclusion: one function turns things into plain values.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -172,7 +172,7 @@
         if SOURCE not in os.environ:
             plain['operators'] = [self.operator]
         path = self.folder / f'{name}.yaml'
-        path.write_text(yaml.safe_dump(to_plain_settings(plain)))
+        path.write_text(yaml.safe_dump(to_plain(plain)))
         daemon = self.spawn(name, ['entry', '--settings', str(path)])
         daemon.address = listen
         daemon.admin = admin
@@ -250,11 +250,6 @@
             return False
 
 
-def to_plain_settings(settings: dict[str, object]) -> dict[str, object]:
-    """Return settings as YAML writes them."""
-    return {name: to_plain(member) for name, member in settings.items()}
-
-
 def find_port() -> int:
     """Return a port that nobody listens at."""
     with socket.socket() as probe:
