--- a/src/currantspur/cli/__init__.py
+++ b/src/currantspur/cli/__init__.py
@@ -1,28 +1,6 @@
 """Offer the command line: one module for each group of commands."""
 
-from currantspur.cli import (
-    changes,
-    checking,
-    daemons,
-    drains,
-    experiments,
-    keys,
-    loading,
-    proposals,
-    review,
-)
+from currantspur.cli import checking, daemons
 from currantspur.cli.application import app, main
 
-__all__ = (
-    'app',
-    'changes',
-    'checking',
-    'daemons',
-    'drains',
-    'experiments',
-    'keys',
-    'loading',
-    'main',
-    'proposals',
-    'review',
-)
+__all__ = ('app', 'checking', 'daemons', 'main')
--- a/src/currantspur/cli/checking.py
+++ b/src/currantspur/cli/checking.py
@@ -5,17 +5,12 @@
 
 from currantspur.cli.application import EXIT_FINDINGS, app
 from currantspur.errors import SettingsError
-from currantspur.settings import (
-    Finding,
-    is_daemon_settings,
-    read_configuration,
-    read_daemon_settings,
-)
+from currantspur.settings import Finding, read_daemon_settings
 
 
 @app.command
 def check(*files: Path) -> None:
-    """Check files and print every finding with its place."""
+    """Check settings files and print every finding with its place."""
     findings = [finding for file in files for finding in check_file(file)]
     for finding in findings:
         sys.stdout.write(f'{finding}\n')
@@ -23,12 +18,16 @@
         sys.exit(EXIT_FINDINGS)
 
 
-def read_proposal(file: Path) -> str:
-    """Return the text of a configuration file; raise SettingsError."""
+def check_file(file: Path) -> list[Finding]:
+    """Return the findings about daemon settings."""
     text, findings = read_file(file)
     if findings:
-        raise SettingsError(findings)
-    return text
+        return findings
+    try:
+        read_daemon_settings(text, file=str(file))
+    except SettingsError as error:
+        return list(error.findings)
+    return []
 
 
 def read_file(file: Path) -> tuple[str, list[Finding]]:
@@ -40,28 +39,4 @@
         problem = f'cannot be read: {error.strerror}'
     except UnicodeDecodeError as error:
         problem = f'not UTF-8 at byte {error.start}'
-    return '', [blame_file(name, problem)]
-
-
-def check_file(file: Path) -> list[Finding]:
-    """Return the findings about daemon settings or a configuration."""
-    text, findings = read_file(file)
-    if findings:
-        return findings
-    try:
-        _read(text, str(file))
-    except SettingsError as error:
-        return list(error.findings)
-    return []
-
-
-def blame_file(file: str, text: str) -> Finding:
-    """Return a finding about a whole file."""
-    return Finding(file=file, line=1, column=1, path='', text=text)
-
-
-def _read(text: str, name: str) -> None:
-    if is_daemon_settings(text):
-        read_daemon_settings(text, file=name)
-    else:
-        read_configuration(text, file=name)
+    return '', [Finding(file=name, line=1, column=1, path='', text=problem)]
--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -1,167 +1,112 @@
 """Assemble the tasks, pipelines and listeners of one entry instance."""
 
-import asyncio
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from random import Random
-from ssl import SSLContext
-from typing import Any
-
-import grpc
-from loguru import logger
 
+from currantspur.decisions.nearness import Nearness
 from currantspur.departure import Departure
-from currantspur.errors import ListenError, PlatformError
+from currantspur.errors import ListenError
 from currantspur.jobs import Jobs
-from currantspur.messages import Instance, Message
+from currantspur.messages import Instance
+from currantspur.platform import (
+    PLATFORM_NAMES,
+    OperatorRows,
+    PlatformStore,
+    TargetRows,
+)
+from currantspur.platform.names import OPERATOR_TABLE, TARGET_TABLE
 from currantspur.settings import DaemonSettings
 from currantspur.tasks import (
-    AdministrationTask,
     AdmissionTask,
-    Attempts,
-    BlockLoader,
-    ChangeTask,
-    ClaimSweep,
-    ClaimTask,
+    Carrier,
     Clock,
-    Control,
-    DecisionWriter,
-    Exchange,
-    HealthTask,
+    Dispatcher,
+    Feed,
     Journal,
-    Limits,
-    Mailbox,
-    SteeringTask,
+    LineSink,
+    Membership,
+    Registrar,
     SystemClock,
-    TargetPool,
     Task,
 )
-from currantspur.wire.admin import AdminListener, AdminServices
-from currantspur.wire.health import HttpHealth
+from currantspur.wire.directory import Directory
 from currantspur.wire.listener import Listener
-from currantspur.wire.peer_grpc import GrpcPeers, PeerServer
-from currantspur.wire.platform_http import PlatformClient, open_platform
-from currantspur.wire.server import open_server
+from currantspur.wire.metrics import Metrics
+from currantspur.wire.peers import JsonInstances, open_datagrams
+from currantspur.wire.server import Handler, Server, open_server
 from currantspur.wire.targets import HttpTargets
-from currantspur.wire.telemetry import Metrics, open_tracer
-from currantspur.wire.tls import CallerTls, PeerTls
+
+LIFE_BITS = 53
 
 
 class Daemon:
     """Run one entry instance from start to graceful stop."""
 
     __slots__ = (
-        'administration',
         'admission',
-        'blocks',
-        'changes',
-        'claims',
-        'client',
         'clock',
-        'control',
-        'decisions',
-        'health',
+        'dispatcher',
+        'feeds',
         'jobs',
         'journal',
-        'limits',
         'listener',
+        'membership',
         'metrics',
-        'peer_server',
-        'peers',
-        'pool',
-        'runners',
+        'random',
+        'registrar',
+        'servers',
         'settings',
-        'steering',
+        'store',
         'targets',
-        'tracer',
     )
 
     def __init__(
-        self, settings: DaemonSettings, *, clock: Clock | None = None
+        self,
+        settings: DaemonSettings,
+        *,
+        sink: LineSink,
+        metrics: Metrics | None = None,
+        clock: Clock | None = None,
+        random: Random | None = None,
     ) -> None:
         self.settings = settings
         self.clock = clock or SystemClock()
-        self.metrics = Metrics()
-        self.tracer = open_tracer(
-            instance=settings.instance, collector=settings.collector
-        )
-        self.client = PlatformClient(
-            settings.platform, caller=settings.instance
-        )
-        self.targets = HttpTargets()
-        peer_tls = settings.peer_tls
-        self.peers = GrpcPeers(
-            PeerTls(peer_tls).open_channel if peer_tls else None
-        )
+        self.random = random or Random()
+        self.metrics = metrics or Metrics()
+        self.journal = Journal(sink=sink, clock=self.clock)
+        self.store = PlatformStore(settings.store, self.metrics)
+        self.targets = HttpTargets(PLATFORM_NAMES)
         self.admission = AdmissionTask(
-            clock=self.clock,
-            freshness_s=settings.freshness_s,
-            instance=settings.instance,
-            availability_zone=settings.availability_zone,
-        )
-        self.decisions = DecisionWriter(
-            store=open_platform(self.client).object_store,
-            clock=self.clock,
-            instance=settings.instance,
-        )
-        self.journal = Journal(writer=self.decisions.mailbox)
-        self.pool = TargetPool(
-            clock=self.clock,
-            availability_zone=settings.availability_zone,
-            instance=settings.instance,
-            journal=self.journal.mailbox,
+            clock=self.clock, instance=settings.instance, journal=self.journal
         )
-        self.health = HealthTask(
-            port=HttpHealth(),
+        self.dispatcher = Dispatcher(
             clock=self.clock,
-            availability_zone=settings.availability_zone,
-            instance=settings.instance,
-            pool=self.pool.mailbox,
-            journal=self.journal.mailbox,
-        )
-        self.pool.health = self.health.mailbox
-        self.steering = SteeringTask(
-            clock=self.clock,
-            journal=self.journal.mailbox,
-            instance=settings.instance,
-            freshness_s=settings.freshness_s,
-        )
-        self.limits = Limits(
-            instance=settings.instance,
-            clock=self.clock,
-            freshness_s=settings.freshness_s,
-            admission=self.admission,
-            pool=self.pool,
-            peers=self.peers,
-            journal=self.journal.mailbox,
-        )
-        self.administration = AdministrationTask(
-            clock=self.clock, trusted=settings.operators
-        )
-        self.blocks = BlockLoader(
-            store=open_platform(self.client).object_store,
+            nearness=Nearness(
+                availability_zone=settings.availability_zone,
+                regions=settings.regions,
+            ),
+            limits=settings.limits,
+            journal=self.journal,
+        )
+        self.feeds = self._open_feeds()
+        self.membership = self._open_membership()
+        self.registrar = Registrar(
+            own=self.membership.liveness.own.instance,
+            store=self.store,
+            codec=JsonInstances(),
+            membership=self.membership,
             clock=self.clock,
-            steering=self.steering.mailbox,
-        )
-        self.control = self._open_control()
-        self.limits.planner.committer = self.control.committer
-        self.claims = ClaimTask(
-            platform=self.control.count('claims'), clock=self.clock
-        )
-        self.changes = ChangeTask(
-            platform=self.control.platform,
-            committer=self.control.committer,
-            trusted=settings.operators,
+            journal=self.journal,
+            random=self.random,
         )
-        self.peer_server = PeerServer(self._peer_mailboxes())
         self.listener = Listener(
-            exchange=self._open_exchange(),
-            steering=self.steering.mailbox,
+            carrier=self._open_carrier(),
             clock=self.clock,
             metrics=self.metrics,
-            tracer=self.tracer,
+            names=PLATFORM_NAMES,
         )
         self.jobs = Jobs()
-        self.runners: list[Any] = []
+        self.servers: list[Server] = []
 
     async def start(self) -> None:
         """Listen and start every task; raise ListenError where one cannot."""
@@ -170,183 +115,131 @@
         except ListenError:
             await self._end()
             raise
-        for task in self._tasks():
+        for task in self._list_tasks():
             self.jobs.start(task.run())
-        for work in self.control.runs():
-            self.jobs.start(work)
-        self.jobs.start(self.changes.run())
-        self.jobs.start(self._open_sweep().run())
-        logger.info(
-            '{} listens at {}', self.settings.instance, self.settings.listen
+        for feed in self.feeds.values():
+            self.jobs.start(feed.run())
+        self.jobs.start(self.registrar.run())
+        self.jobs.start(self.membership.beat(self.random))
+        self.journal.note(
+            'started',
+            availability_zone=self.settings.availability_zone,
+            listen=self.settings.listen,
         )
 
     def is_ready(self) -> bool:
-        """Tell whether a version is in force."""
-        return self.control.follower.head is not None
+        """Tell whether callers may be sent here."""
+        knows_targets = bool(self.dispatcher.states)
+        has_version = self.admission.state.version > 0
+        return has_version and knows_targets and not self.listener.is_leaving
 
-    async def leave(self, hurried: 'asyncio.Task[None]') -> None:
+    async def leave(self) -> None:
         """Leave the answers, wait out caches and requests, and stop."""
         departure = Departure(
-            reader=self.control.membership_reader,
-            steering=self.steering.mailbox,
             listener=self.listener,
-            claims=self.claims.mailbox,
+            membership=self.membership.mailbox,
             clock=self.clock,
+            journal=self.journal,
+            grace_s=self.settings.limits.grace_s,
         )
-        leaving = asyncio.create_task(departure.run(self.runners[0]))
-        await asyncio.wait(
-            (leaving, hurried),
-            timeout=self.settings.leave_s,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        if not leaving.done():
-            logger.warning('leaving is cut short')
-            leaving.cancel()
-            self.listener.cut()
-        await self.stop()
+        await departure.run(self.servers[0], self.registrar.leave)
+        await self._end()
 
     async def stop(self) -> None:
-        """Announce leaving, finish what runs, and close, once."""
-        if not self.runners:
-            return
-        try:
-            await self.control.membership_reader.leave()
-        except PlatformError as error:
-            logger.warning('could not announce leaving: {}', error)
+        """Close everything at once."""
         await self._end()
-        logger.info('{} stopped', self.settings.instance)
 
     async def _listen(self) -> None:
-        admin = AdminListener(
-            services=self._open_services(),
+        directory = Directory(
+            membership=self.membership.mailbox,
             metrics=self.metrics,
+            names=PLATFORM_NAMES,
             is_ready=self.is_ready,
         )
         settings = self.settings
-        for application, address, context in (
-            (
-                self.listener.application(),
-                settings.listen,
-                self._open_caller_tls(),
-            ),
-            (admin.application(), settings.admin, None),
-        ):
-            self.runners.append(
-                await open_server(application, address, context)
+        served: tuple[tuple[Handler, str], ...] = (
+            (self.listener.carry, settings.listen),
+            (directory.answer, settings.directory),
+            (directory.answer, settings.ready),
+            (self.metrics.show, settings.metrics),
+        )
+        for handler, address in served:
+            self.servers.append(await open_server(handler, address))
+        try:
+            self.membership.port = await open_datagrams(
+                settings.peer, self.membership.mailbox
             )
-        await self.peer_server.start(settings.peer, self._open_peer_tls())
+        except OSError as error:
+            raise ListenError(f'{settings.peer}: {error.strerror}') from error
 
     async def _end(self) -> None:
-        while self.runners:
-            await self.runners.pop(0).cleanup()
+        while self.servers:
+            await self.servers.pop(0).close()
         await self.jobs.stop()
-        for close in (
-            self.peer_server.stop,
-            self.peers.close,
-            self.targets.close,
-            self.health.port.close,
-            self.client.close,
-        ):
-            await close()
-
-    def _open_sweep(self) -> ClaimSweep:
-        return ClaimSweep(
-            table=self.control.count('claim_sweep').table,
-            clock=self.clock,
-            random=Random(self.settings.instance),
-        )
+        if self.membership.port is not None:
+            self.membership.port.close()
+        await self.targets.close()
+        await self.store.close()
 
-    def _open_caller_tls(self) -> SSLContext | None:
-        if self.settings.tls is None:
-            return None
-        tls = CallerTls(self.settings.tls)
-        self.jobs.start(tls.watch(self.clock))
-        return tls.context
-
-    def _open_peer_tls(self) -> grpc.ServerCredentials | None:
-        if self.settings.peer_tls is None:
-            return None
-        tls = PeerTls(self.settings.peer_tls)
-        credentials = tls.open_server()
-        self.jobs.start(tls.watch(self.clock, self.peers.close))
-        return credentials
+    def _list_tasks(self) -> Iterator[Task]:
+        yield self.admission
+        yield self.dispatcher
+        yield self.membership
 
-    def _peer_mailboxes(self) -> dict[type[Message], Mailbox]:
+    def _open_feeds(self) -> dict[str, Feed]:
+        admission, dispatcher = self.admission.mailbox, self.dispatcher.mailbox
         return {
-            **self.control.questions(),
-            **self.limits.questions(),
+            OPERATOR_TABLE: Feed(
+                table=OPERATOR_TABLE,
+                store=self.store,
+                decoder=OperatorRows(),
+                readers=(admission, dispatcher),
+                clock=self.clock,
+                journal=self.journal,
+                random=self.random,
+            ),
+            TARGET_TABLE: Feed(
+                table=TARGET_TABLE,
+                store=self.store,
+                decoder=TargetRows(),
+                readers=(dispatcher,),
+                clock=self.clock,
+                journal=self.journal,
+                random=self.random,
+            ),
         }
 
-    def _tasks(self) -> Iterator[Task]:
-        yield self.admission
-        yield self.pool
-        yield self.steering
-        yield self.journal
-        yield from self.limits.tasks()
-        yield self.claims
-        yield self.administration
-        yield self.blocks
-        yield self.decisions
-        yield self.health
-
-    def _open_control(self) -> Control:
+    def _open_membership(self) -> Membership:
         settings = self.settings
-        instance = Instance(
-            name=settings.instance,
-            address=settings.listen,
-            peer=settings.peer,
-            availability_zone=settings.availability_zone,
-        )
-        tasks = (
-            self.admission,
-            self.pool,
-            self.steering,
-            self.blocks,
-            self.health,
-            self.administration,
-        )
-        return Control(
-            platform=open_platform(self.client),
-            peers=self.peers,
-            instance=instance,
+        return Membership(
+            own=Instance(
+                name=settings.instance,
+                availability_zone=settings.availability_zone,
+                region=settings.region,
+                address=settings.listen,
+                peer=settings.peer,
+            ),
+            life=self.random.getrandbits(LIFE_BITS),
             clock=self.clock,
-            poll_s=settings.poll_s,
-            journal=self.journal.mailbox,
-            # Parts come before the version that they belong to is used.
-            readers=[
-                *self.limits.readers(),
-                *(task.mailbox for task in tasks),
-            ],
-            seeds=map(_name_seed, settings.seeds),
-            counter=self.metrics.platform_calls,
-        )
-
-    def _open_services(self) -> AdminServices:
-        return AdminServices(
-            instance=self.control.instance,
-            administration=self.administration.mailbox,
+            journal=self.journal,
             admission=self.admission.mailbox,
-            changes=self.changes.mailbox,
-            journal=self.journal.mailbox,
-            steering=self.steering.mailbox,
-            platform=self.control.platform,
-            peers=self.peers,
+            readers=(self.admission.mailbox, self.dispatcher.mailbox),
+            revisions=self._tell_revisions,
+            tell_revisions=self._hear_revisions,
         )
 
-    def _open_exchange(self) -> Exchange:
-        return Exchange(
+    def _open_carrier(self) -> Carrier:
+        return Carrier(
             admission=self.admission.mailbox,
-            claims=self.claims.mailbox,
-            attempts=Attempts(
-                admission=self.admission.mailbox,
-                pool=self.pool.mailbox,
-                targets=self.targets,
-                clock=self.clock,
-                tracer=self.tracer,
-            ),
-            tracer=self.tracer,
+            dispatcher=self.dispatcher.mailbox,
+            targets=self.targets,
+            clock=self.clock,
+            journal=self.journal,
         )
 
+    def _tell_revisions(self) -> Mapping[str, int]:
+        return {table: feed.changed for table, feed in self.feeds.items()}
 
-def _name_seed(peer: str) -> Instance:
-    return Instance(name='', address='', peer=peer, availability_zone='')
+    def _hear_revisions(self, revisions: Mapping[str, int], at: float) -> None:
+        for table, feed in self.feeds.items():
+            feed.compare(revisions.get(table, -1), at)
--- /dev/null
+++ b/src/currantspur/decisions/affinity.py
@@ -0,0 +1,8 @@
+"""Rank targets for an object in the same way on every instance."""
+
+from xxhash import xxh64_intdigest
+
+
+def weigh(object_key: str, target: str) -> int:
+    """Return the rendezvous weight of a target for an object."""
+    return xxh64_intdigest(f'{object_key}\0{target}'.encode())
--- a/src/currantspur/decisions/nearness.py
+++ b/src/currantspur/decisions/nearness.py
@@ -1,93 +1,33 @@
-"""Choose the entry instances that a client should use."""
+"""Tell how far a target is, in seconds there and back."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
-from currantspur.decisions.blocks import BlockTable
-from currantspur.decisions.chunks import cut_blocks
-from currantspur.decisions.spread import Holders, Spread
-from currantspur.messages import (
-    BlockChange,
-    Configuration,
-    Flows,
-    Instance,
-    LookupAnswer,
-)
+# From the brief: availability zones 4 to 5 ms apart, regions about 35 ms.
+ZONE_TRIP_S = 0.01
+REGION_TRIP_S = 0.07
 
 
-class EntryTable:
-    """Answer look-ups from blocks, flows and the list of instances."""
+class Nearness:
+    """Know where this instance is and which region each zone belongs to."""
 
-    __slots__ = ('answers', 'blocks', 'cache_s', 'inline', 'sites', 'spread')
+    __slots__ = ('availability_zone', 'region', 'regions')
 
-    def __init__(self) -> None:
-        self.blocks = BlockTable()
-        self.inline: BlockTable | None = None
-        self.sites: dict[str, str] = {}
-        self.cache_s = 1.0
-        self.spread = Spread()
-        self.answers: dict[tuple[str | None, str | None], LookupAnswer] = {}
+    def __init__(
+        self, *, availability_zone: str, regions: Mapping[str, str]
+    ) -> None:
+        """Take the region of each availability zone."""
+        self.availability_zone = availability_zone
+        self.regions = regions
+        self.region = self.find_region(availability_zone)
 
-    def configure(self, configuration: Configuration) -> None:
-        """Take the blocks, sites, regions and cache time of a version."""
-        has_blocks = bool(configuration.blocks)
-        self.inline = load_blocks(configuration) if has_blocks else None
-        self.cache_s = configuration.steering.cache_s
-        self.sites = {
-            site.name: site.availability_zone for site in configuration.sites
-        }
-        self.spread.configure(configuration)
-        self.answers.clear()
+    def find_region(self, availability_zone: str) -> str:
+        """Return the region of a zone; an unknown one is its own region."""
+        return self.regions.get(availability_zone, availability_zone)
 
-    def change(self, change: BlockChange) -> None:
-        """Take changed chunks of the blocks."""
-        self.blocks.apply(change)
-
-    def replace(self, instances: Iterable[Instance]) -> None:
-        """Take the members; leaving ones are no longer answered."""
-        self.spread.replace(instances)
-        self.answers.clear()
-
-    def steer(self, flows: Flows) -> None:
-        """Take the share of each origin's callers that a zone gets."""
-        self.spread.flows = flows
-        self.answers.clear()
-
-    def hold(self, holders: Mapping[str, Holders]) -> None:
-        """Take the instances that hold a part of each team's rate."""
-        self.spread.holders = dict(holders)
-        self.answers.clear()
-
-    def find_site(self, client: bytes) -> str | None:
-        """Return the site of the longest block that holds a client."""
-        if self.inline is not None:
-            site = self.inline.find(client)
-            if site is not None:
-                return site
-        return self.blocks.find(client)
-
-    def answer(self, client: bytes, team: str | None = None) -> LookupAnswer:
-        """Return the entries for a client's packed address."""
-        site = self.find_site(client)
-        if team not in self.spread.holders:
-            team = None
-        answer = self.answers.get((site, team))
-        return answer or self._prepare(site, team)
-
-    def _prepare(self, site: str | None, team: str | None) -> LookupAnswer:
-        zone = self.sites.get(site, site) if site else None
-        answer = LookupAnswer(
-            entries=self.spread.choose(zone, team),
-            cache_s=self.cache_s,
-            site=site,
-        )
-        self.answers[site, team] = answer
-        return answer
-
-
-def load_blocks(configuration: Configuration) -> BlockTable:
-    """Return the table of the blocks listed in a configuration."""
-    table = BlockTable()
-    chunks = tuple(cut_blocks(configuration.blocks))
-    prefixes = tuple(chunk.prefix for chunk in chunks)
-    table.apply(BlockChange(chunks=chunks, prefixes=prefixes))
-    return table
+    def trip_s(self, availability_zone: str) -> float:
+        """Return the seconds to a zone and back."""
+        if availability_zone == self.availability_zone:
+            return 0.0
+        if self.find_region(availability_zone) == self.region:
+            return ZONE_TRIP_S
+        return REGION_TRIP_S
--- /dev/null
+++ b/src/currantspur/decisions/placement.py
@@ -0,0 +1,109 @@
+"""Choose the target that answers a request soonest at the least cost."""
+
+from currantspur.decisions.affinity import weigh
+from currantspur.decisions.nearness import Nearness
+from currantspur.decisions.target_state import TargetState
+from currantspur.decisions.work import WorkTimes
+from currantspur.messages import TargetRequest
+
+# Traffic between zones and regions is paid for: as if it took this longer.
+ZONE_PRICE_S = 0.02
+REGION_PRICE_S = 0.1
+# The work of a target that learns an object is also time that others wait.
+LEARNING_PRICE = 0.5
+# The next target in the order of an object is this much of its work dearer,
+# so that all instances teach an object to the same targets.
+RANK_PRICE = 0.15
+# A recent failure costs as much as this share of the goal.
+TROUBLE_PRICE = 1.0
+# A target queues a few times what it runs; beyond that it rejects.
+QUEUE_FACTOR = 4.0
+
+
+class Candidate:
+    """Hold what a target would cost a request."""
+
+    __slots__ = ('busy', 'cost', 'expected_s', 'is_warm', 'state')
+
+    def __init__(self, state: TargetState) -> None:
+        self.state = state
+        self.busy = 0.0
+        self.is_warm = False
+        self.expected_s = 0.0
+        self.cost = 0.0
+
+    @property
+    def is_free(self) -> bool:
+        """Tell whether a slot is free, as far as is known."""
+        return self.busy < self.state.target.slots
+
+    @property
+    def is_full(self) -> bool:
+        """Tell whether it would probably reject a request."""
+        return self.busy >= QUEUE_FACTOR * self.state.target.slots
+
+
+class Placement:
+    """Estimate costs from where this instance is."""
+
+    __slots__ = ('nearness',)
+
+    def __init__(self, nearness: Nearness) -> None:
+        self.nearness = nearness
+
+    def estimate(
+        self, state: TargetState, request: TargetRequest, at: float
+    ) -> Candidate:
+        """Return the load of a target and whether it knows the object."""
+        candidate = Candidate(state)
+        candidate.busy = state.busy(at)
+        candidate.is_warm = request.object_key in state.warm
+        return candidate
+
+    def price(
+        self,
+        candidate: Candidate,
+        request: TargetRequest,
+        times: WorkTimes,
+        *,
+        rank: int,
+        at: float,
+    ) -> None:
+        """Set the expected seconds and the cost of a candidate."""
+        state = candidate.state
+        slots = max(1, state.target.slots)
+        slowness = state.slowness(at)
+        work_s = times.expect(is_warm=candidate.is_warm) * slowness
+        queued = max(0.0, candidate.busy - slots + 1)
+        wait_s = queued / slots * times.warm_s * slowness
+        trip_s = self.nearness.trip_s(state.target.availability_zone)
+        candidate.expected_s = trip_s + wait_s + work_s
+        learning_s = 0.0 if candidate.is_warm else work_s * LEARNING_PRICE
+        candidate.cost = (
+            candidate.expected_s
+            + learning_s
+            + self._price_of_way(state)
+            + rank * RANK_PRICE * times.cold_s
+            + state.trouble(at) * TROUBLE_PRICE * request.route.goal_s
+        )
+
+    def _price_of_way(self, state: TargetState) -> float:
+        zone = state.target.availability_zone
+        if zone == self.nearness.availability_zone:
+            return 0.0
+        if self.nearness.find_region(zone) == self.nearness.region:
+            return ZONE_PRICE_S
+        return REGION_PRICE_S
+
+
+def rank_by_affinity(
+    candidates: list[Candidate], object_key: str | None
+) -> list[Candidate]:
+    """Order candidates as all instances order them for an object."""
+    if object_key is None:
+        return candidates
+    return sorted(
+        candidates,
+        key=lambda one: weigh(object_key, one.state.target.name),
+        reverse=True,
+    )
--- a/src/currantspur/decisions/retries.py
+++ b/src/currantspur/decisions/retries.py
@@ -1,42 +1,52 @@
-"""Decide whether a failed request may be sent again."""
+"""Bound the requests that are sent to more than one target."""
 
-DEPOSIT = 0.1
-RESERVE = 10.0
-DEPOSIT_LIMIT = 100.0
+from currantspur.decisions.bucket import Bucket
+
+# Half of what the operator allows: instances that die take their part along,
+# and those that replace them begin anew within the same window.
+SAFE_SHARE = 0.5
+LEAST_LEVEL = 1.0
 
 
 class RetryBudget:
-    """Allow retries up to a fraction of the traffic."""
+    """Earn a fraction of a repeat with each request for a service."""
 
-    __slots__ = ('deposit', 'level', 'limit')
+    __slots__ = ('bucket', 'ratio', 'slack', 'window_s')
 
     def __init__(
-        self,
-        *,
-        deposit: float = DEPOSIT,
-        reserve: float = RESERVE,
-        limit: float = DEPOSIT_LIMIT,
+        self, *, ratio: float, slack: float, window_s: float, size: int
     ) -> None:
-        """Take retries earned by a request, had at first and kept at most."""
-        self.deposit = deposit
-        self.level = reserve
-        self.limit = limit
+        """Take repeats a request, those beyond it in a window, instances."""
+        self.ratio = ratio
+        self.slack = slack
+        self.window_s = window_s
+        self.bucket = Bucket(rate=0.0, burst=0.0, at=0.0)
+        self.resize(size=size, at=0.0)
+        self.bucket.level = self.bucket.burst
+
+    def resize(self, *, size: int, at: float) -> None:
+        """Share the slack between that many instances."""
+        part = SAFE_SHARE * self.slack / max(1, size)
+        self.bucket.resize(
+            rate=part / self.window_s,
+            burst=max(LEAST_LEVEL, part),
+            at=at,
+        )
 
     def earn(self) -> None:
-        """Note a first attempt."""
-        self.level = min(self.limit, self.level + self.deposit)
+        """Note a request for the service."""
+        bucket = self.bucket
+        earned = bucket.level + SAFE_SHARE * self.ratio
+        bucket.level = min(bucket.burst, earned)
 
-    def spend(self) -> bool:
-        """Take one retry if one is left."""
-        if self.level < 1:
-            return False
-        self.level -= 1
-        return True
+    def spend(self, at: float) -> bool:
+        """Take one repeat if one is left."""
+        return self.bucket.spend(at)
 
 
 def may_send_again(
-    *, idempotent: bool, sent: bool, replayable: bool, left_s: float
+    *, is_idempotent: bool, was_sent: bool, tries_left: int, left_s: float
 ) -> bool:
     """Tell whether another attempt is safe and has time."""
-    is_safe = idempotent or not sent
-    return is_safe and replayable and left_s > 0
+    is_safe = is_idempotent or not was_sent
+    return is_safe and tries_left > 0 and left_s > 0
--- a/src/currantspur/decisions/routing.py
+++ b/src/currantspur/decisions/routing.py
@@ -1,4 +1,4 @@
-"""Find the route of a path."""
+"""Find the route of a request."""
 
 from collections.abc import Iterable
 
@@ -6,19 +6,24 @@
 
 
 class RouteTable:
-    """Match paths to the longest route prefix."""
+    """Match a host and a path to the longest prefix."""
 
-    __slots__ = ('routes',)
+    __slots__ = ('by_host',)
 
-    def __init__(self, routes: Iterable[Route]) -> None:
-        self.routes = {route.prefix.rstrip('/'): route for route in routes}
+    def __init__(self, routes: Iterable[Route] = ()) -> None:
+        self.by_host: dict[str, list[Route]] = {}
+        for route in sorted(routes, key=_prefix_length, reverse=True):
+            self.by_host.setdefault(route.host, []).append(route)
 
-    def match(self, path: str) -> Route | None:
-        """Return the route with the longest prefix of whole segments."""
-        prefix = path.split('?', 1)[0].rstrip('/')
-        while prefix:
-            route = self.routes.get(prefix)
-            if route is not None:
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        bare_host = host.lower().partition(':')[0]
+        bare_path = path.partition('?')[0]
+        for route in self.by_host.get(bare_host, ()):
+            if bare_path.startswith(route.prefix):
                 return route
-            prefix = prefix.rpartition('/')[0]
-        return self.routes.get('')
+        return None
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
--- a/src/currantspur/departure.py
+++ b/src/currantspur/departure.py
@@ -1,71 +1,56 @@
-"""Take an instance out of service without cutting a request."""
+"""Stop an instance so that no caller loses a request."""
 
-from aiohttp import web
-from loguru import logger
+import asyncio
+from collections.abc import Awaitable, Callable
 
-from currantspur.errors import PlatformError
-from currantspur.messages import ClaimFlush, LookupQuery
-from currantspur.tasks import Clock, Mailbox
-from currantspur.tasks.membership import MembershipReader
+from currantspur.messages import Leaving
+from currantspur.tasks.clock import Clock
+from currantspur.tasks.journal import Journal
+from currantspur.tasks.mailbox import Mailbox
 from currantspur.wire.listener import Listener
+from currantspur.wire.server import Server
 
-ANYWHERE = bytes(4)
-ANNOUNCE_RETRY_S = 0.5
-ANNOUNCE_LIMIT_S = 10.0
-MARGIN_S = 0.5
-STEP_S = 0.05
-QUIET_STEPS = 3
-RETRY_S = 0.4
+# Callers that keep an answer of the directory learn of the leaving within its
+# cache time; until then their requests are answered here.
+LINGER_S = 2.6
+# Left of the grace time for closing connections and for the exit itself.
+RESERVE_S = 0.5
+LOOK_S = 0.02
 
 
 class Departure:
-    """Leave the answers, wait out callers' caches, then running requests."""
+    """Leave the answers, wait out caches and requests, and close."""
 
-    __slots__ = ('claims', 'clock', 'listener', 'reader', 'steering')
+    __slots__ = ('clock', 'grace_s', 'journal', 'listener', 'membership')
 
     def __init__(
         self,
         *,
-        reader: MembershipReader,
-        steering: Mailbox,
         listener: Listener,
-        claims: Mailbox,
+        membership: Mailbox,
         clock: Clock,
+        journal: Journal,
+        grace_s: float,
     ) -> None:
-        self.reader = reader
-        self.steering = steering
         self.listener = listener
-        self.claims = claims
+        self.membership = membership
         self.clock = clock
+        self.journal = journal
+        self.grace_s = grace_s
 
-    async def run(self, runner: web.AppRunner) -> None:
-        """Return once no caller can be cut any more."""
+    async def run(
+        self, server: Server, unlist: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Return once nothing runs any more or the grace time is over."""
+        began_at = self.clock.now()
         self.listener.is_leaving = True
-        await self._announce()
-        answer = await self.steering.ask(
-            LookupQuery(at=self.clock.now(), client=ANYWHERE)
-        )
-        wait_s = answer.cache_s + self.reader.lag_s + MARGIN_S
-        logger.info('leaving: callers may come for {:.1f} s', wait_s)
-        await self.clock.sleep(wait_s)
-        for site in tuple(runner.sites):
-            await site.stop()
-        await self._wait_for_requests()
-        await self.claims.ask(ClaimFlush())
-
-    async def _announce(self) -> None:
-        until = self.clock.now() + ANNOUNCE_LIMIT_S
-        while self.clock.now() < until:
-            try:
-                await self.reader.leave()
-            except PlatformError as error:
-                logger.warning('could not announce leaving: {}', error)
-            else:
-                return
-            await self.clock.sleep(ANNOUNCE_RETRY_S)
-
-    async def _wait_for_requests(self) -> None:
-        quiet = 0
-        while quiet < QUIET_STEPS:
-            await self.clock.sleep(STEP_S)
-            quiet = 0 if self.listener.is_busy else quiet + 1
+        self.membership.post(Leaving())
+        self.journal.note('leaving', running=len(self.listener.running))
+        unlisting = asyncio.ensure_future(unlist())
+        await self.clock.sleep(min(LINGER_S, self.grace_s / 2))
+        await server.stop_listening()
+        until = began_at + self.grace_s - RESERVE_S
+        while self.listener.running and self.clock.now() < until:
+            await self.clock.sleep(LOOK_S)
+        unlisting.cancel()
+        self.journal.note('stopped', cut=len(self.listener.running))
--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from currantspur.messages.operators import Rejection
+    from currantspur.messages import AnswerHead
     from currantspur.settings.findings import Finding
 
 
@@ -24,56 +24,20 @@
     """Report an address that could not be bound."""
 
 
-class PlatformError(CurrantspurError):
-    """Stand above the errors of the platform."""
+class StoreError(CurrantspurError):
+    """Stand above the errors of the store."""
 
 
-class PlatformAwayError(PlatformError):
-    """Report that the platform gave no answer: a write may have happened."""
+class StoreAwayError(StoreError):
+    """Report that the store gave no answer: a write may have happened."""
 
 
-class OutcomeUnknownError(PlatformAwayError):
-    """Report that a change was sent and its answer is still missing."""
+class HistoryLostError(StoreError):
+    """Report that the store no longer knows what followed a revision."""
 
 
-class ObjectMissingError(PlatformError):
-    """Report that no object has the name asked for."""
-
-
-class ConflictError(PlatformError):
-    """Report that the condition of a transaction did not hold."""
-
-    def __init__(self, detail: str, *, author: str = '') -> None:
-        super().__init__(detail)
-        self.author = author
-
-
-class EditError(CurrantspurError):
-    """Report a change that does not fit the newest configuration."""
-
-
-class QuorumError(PlatformError):
-    """Report that no majority of committers acknowledged: nothing written."""
-
-
-class TakenError(EditError):
-    """Report a name that is in use already."""
-
-
-class ForbiddenError(CurrantspurError):
-    """Report an operator who may not do what was asked."""
-
-
-class RejectedError(CurrantspurError):
-    """Carry the reason why an operator's request was not carried out."""
-
-    def __init__(self, rejection: 'Rejection') -> None:
-        super().__init__(rejection.detail)
-        self.rejection = rejection
-
-
-class PeerAwayError(CurrantspurError):
-    """Report that a peer gave no answer in time."""
+class MalformedRowError(StoreError):
+    """Report a row that cannot be understood."""
 
 
 class LoadError(CurrantspurError):
@@ -88,6 +52,14 @@
     """Report that a task has more waiting messages than it may hold."""
 
 
+class BodyCutError(CurrantspurError):
+    """Report a caller that left before its body was whole."""
+
+
+class BodyTooLargeError(CurrantspurError):
+    """Report a body over the limit for callers."""
+
+
 class TargetError(CurrantspurError):
     """Report a failed exchange with a target."""
 
@@ -98,7 +70,14 @@
 
 
 class TargetShedError(TargetError):
-    """Report that a target said that it shed the request unrun."""
+    """Report that a target said that it did not run the request."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail, sent=False)
+
+
+class TargetMovedError(TargetError):
+    """Report that another target answers at the address."""
 
     def __init__(self, detail: str) -> None:
         super().__init__(detail, sent=False)
@@ -108,10 +87,9 @@
     """Report that the time of an exchange with a target ran out."""
 
 
-class CallError(CurrantspurError):
-    """Report a request for which a caller got no whole answer."""
+class TargetFailedError(TargetError):
+    """Carry the whole answer of a target that failed at a request."""
 
-    def __init__(self, detail: str, *, sent: bool) -> None:
-        """Take whether the request may have reached an entry."""
-        super().__init__(detail)
-        self.sent = sent
+    def __init__(self, answer: 'AnswerHead') -> None:
+        super().__init__(f'status {answer.status}', sent=True)
+        self.answer = answer
--- a/src/currantspur/messages/configuration.py
+++ b/src/currantspur/messages/configuration.py
@@ -1,246 +1,152 @@
-"""Define what operators write: routes, teams, keys, targets, regions."""
+"""Define what operators decide: routes, services, teams and limits."""
 
-from ipaddress import IPv4Network, IPv6Network
-from typing import Literal
+from typing import Final
 
 from currantspur.messages.base import Message
 
-Access = Literal['keyed', 'open']
-Objective = Literal['fairness', 'latency']
-Role = Literal['read', 'drain', 'change']
+NO_REGIONS: Final[frozenset[str]] = frozenset()
 
 
-class Route(Message):
-    """Map a path prefix to a service and say how its requests are carried."""
+class Part(Message):
+    """Send a share of a route's requests to a service."""
 
-    __slots__ = ('access', 'deadline_s', 'idempotent', 'prefix', 'service')
+    __slots__ = ('service', 'weight')
 
-    def __init__(
-        self,
-        *,
-        prefix: str,
-        service: str,
-        access: Access = 'keyed',
-        idempotent: bool = True,
-        deadline_s: float = 10.0,
-    ) -> None:
-        self.prefix = prefix
+    def __init__(self, *, service: str, weight: float) -> None:
         self.service = service
-        self.access = access
-        self.idempotent = idempotent
-        self.deadline_s = deadline_s
+        self.weight = weight
 
 
-class Team(Message):
-    """Give a team its rate (requests a second) and burst (requests)."""
-
-    __slots__ = ('burst', 'name', 'rate')
-
-    def __init__(self, *, name: str, rate: float, burst: float) -> None:
-        self.name = name
-        self.rate = rate
-        self.burst = burst
-
-
-class Key(Message):
-    """Name a team's key by its public id and the digest of its secret."""
-
-    __slots__ = ('digest', 'key_id', 'team')
-
-    def __init__(self, *, key_id: str, team: str, digest: str) -> None:
-        self.key_id = key_id
-        self.team = team
-        self.digest = digest
-
-
-class Operator(Message):
-    """Let an operator in by the public id and the digest of a key."""
-
-    __slots__ = ('digest', 'key_id', 'name', 'role')
-
-    def __init__(
-        self, *, name: str, role: Role, key_id: str, digest: str
-    ) -> None:
-        self.name = name
-        self.role = role
-        self.key_id = key_id
-        self.digest = digest
-
-
-class Target(Message):
-    """Describe a back end: where it listens and what it can take."""
+class Route(Message):
+    """Match requests by host and path and say how they are served."""
 
     __slots__ = (
-        'address',
-        'availability_zone',
-        'connections',
+        'goal_s',
+        'has_affinity',
+        'home_regions',
+        'host',
+        'is_idempotent',
+        'is_open',
         'name',
-        'service',
-        'slots',
+        'parts',
+        'prefix',
+        'priority',
+        'timeout_s',
+        'tries',
     )
 
     def __init__(
         self,
         *,
         name: str,
-        service: str,
-        address: str,
-        availability_zone: str,
-        slots: int = 3,
-        connections: int = 330,
+        host: str,
+        prefix: str,
+        parts: tuple[Part, ...],
+        is_idempotent: bool,
+        timeout_s: float,
+        goal_s: float,
+        tries: int,
+        priority: int = 0,
+        is_open: bool = False,
+        has_affinity: bool = False,
+        home_regions: frozenset[str] = NO_REGIONS,
     ) -> None:
+        """Take the response-time goal and the longest wait in seconds."""
         self.name = name
-        self.service = service
-        self.address = address
-        self.availability_zone = availability_zone
-        self.slots = slots
-        self.connections = connections
+        self.host = host
+        self.prefix = prefix
+        self.parts = parts
+        self.is_idempotent = is_idempotent
+        self.timeout_s = timeout_s
+        self.goal_s = goal_s
+        self.tries = tries
+        self.priority = priority
+        self.is_open = is_open
+        self.has_affinity = has_affinity
+        self.home_regions = home_regions
 
 
-class Region(Message):
-    """Group availability zones under one intake limit (requests a second)."""
+class Service(Message):
+    """Describe what all targets of a service have in common."""
 
-    __slots__ = ('availability_zones', 'intake_burst', 'intake_rate', 'name')
+    __slots__ = ('cold_per_s', 'cold_s', 'connections', 'health_path', 'name')
 
     def __init__(
         self,
         *,
         name: str,
-        availability_zones: tuple[str, ...],
-        intake_rate: float,
-        intake_burst: float,
+        health_path: str = '/health',
+        connections: int = 0,
+        cold_s: float = 0.0,
+        cold_per_s: float = 0.0,
     ) -> None:
+        """Take the cold time and what a cold target bears each second."""
         self.name = name
-        self.availability_zones = availability_zones
-        self.intake_rate = intake_rate
-        self.intake_burst = intake_burst
-
-
-class Link(Message):
-    """Limit the traffic from one region to another (Mbit/s)."""
-
-    __slots__ = ('destination', 'mbit_s', 'origin')
-
-    def __init__(self, *, origin: str, destination: str, mbit_s: float) -> None:
-        self.origin = origin
-        self.destination = destination
-        self.mbit_s = mbit_s
-
-
-class Block(Message):
-    """Map a prefix of client addresses to the site nearest to it."""
-
-    __slots__ = ('network', 'site')
-
-    def __init__(
-        self, *, network: IPv4Network | IPv6Network, site: str
-    ) -> None:
-        self.network = network
-        self.site = site
-
-
-class Site(Message):
-    """Name a place of clients by the availability zone nearest to it."""
-
-    __slots__ = ('availability_zone', 'name')
-
-    def __init__(self, *, name: str, availability_zone: str) -> None:
-        self.name = name
-        self.availability_zone = availability_zone
+        self.health_path = health_path
+        self.connections = connections
+        self.cold_s = cold_s
+        self.cold_per_s = cold_per_s
 
 
-class Drain(Message):
-    """Plan that a target, availability zone or region stops taking work."""
+class Team(Message):
+    """Own keys, and a rate and a burst across the whole fleet."""
 
-    __slots__ = ('drain_id', 'name', 'pace', 'paused', 'scope', 'start_s')
+    __slots__ = ('burst', 'home_regions', 'keys', 'name', 'priority', 'rate')
 
     def __init__(
         self,
         *,
-        drain_id: str,
-        scope: Literal['target', 'availability_zone', 'region'],
         name: str,
-        start_s: float = 0.0,
-        pace: float = 1.0,
-        paused: bool = False,
+        keys: tuple[str, ...] = (),
+        rate: float = 0.0,
+        burst: float = 0.0,
+        priority: int | None = None,
+        home_regions: frozenset[str] = NO_REGIONS,
     ) -> None:
-        """Take the start as Unix time and the pace as a share a second."""
-        self.drain_id = drain_id
-        self.scope = scope
+        """Take requests a second; a rate of 0 does not limit."""
         self.name = name
-        self.start_s = start_s
-        self.pace = pace
-        self.paused = paused
+        self.keys = keys
+        self.rate = rate
+        self.burst = burst
+        self.priority = priority
+        self.home_regions = home_regions
 
 
-class Steering(Message):
-    """Set how look-ups are answered and how fast traffic may move."""
+class CallerLimits(Message):
+    """Bound what a caller may send and how long it may stay idle."""
 
-    __slots__ = ('cache_s', 'objective', 'shift_cap', 'step_s')
+    __slots__ = ('body_bytes', 'header_bytes', 'header_s', 'idle_s')
 
     def __init__(
         self,
         *,
-        cache_s: float = 5.0,
-        shift_cap: float = 0.1,
-        step_s: float = 5.0,
-        objective: Objective = 'fairness',
+        header_bytes: int = 16_384,
+        body_bytes: int = 1_048_576,
+        header_s: float = 10.0,
+        idle_s: float = 60.0,
     ) -> None:
-        """Take the cap as the share of a region's traffic moved in a step."""
-        self.cache_s = cache_s
-        self.shift_cap = shift_cap
-        self.step_s = step_s
-        self.objective = objective
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self.header_s = header_s
+        self.idle_s = idle_s
 
 
 class Configuration(Message):
-    """Hold one whole accepted configuration."""
+    """Hold one version of everything that operators decide."""
 
-    __slots__ = (
-        'blocks',
-        'drains',
-        'keys',
-        'links',
-        'operators',
-        'regions',
-        'routes',
-        'sites',
-        'steering',
-        'targets',
-        'teams',
-    )
+    __slots__ = ('limits', 'routes', 'services', 'teams', 'version')
 
     def __init__(
         self,
         *,
+        version: int,
         routes: tuple[Route, ...] = (),
+        services: tuple[Service, ...] = (),
         teams: tuple[Team, ...] = (),
-        keys: tuple[Key, ...] = (),
-        targets: tuple[Target, ...] = (),
-        regions: tuple[Region, ...] = (),
-        links: tuple[Link, ...] = (),
-        blocks: tuple[Block, ...] = (),
-        drains: tuple[Drain, ...] = (),
-        sites: tuple[Site, ...] = (),
-        operators: tuple[Operator, ...] = (),
-        steering: Steering | None = None,
+        limits: CallerLimits | None = None,
     ) -> None:
+        self.version = version
         self.routes = routes
+        self.services = services
         self.teams = teams
-        self.keys = keys
-        self.targets = targets
-        self.regions = regions
-        self.links = links
-        self.blocks = blocks
-        self.drains = drains
-        self.sites = sites
-        self.operators = operators
-        self.steering = steering or Steering()
-
-    def region_by_zone(self) -> dict[str, str]:
-        """Return the region of each availability zone."""
-        return {
-            zone: region.name
-            for region in self.regions
-            for zone in region.availability_zones
-        }
+        self.limits = limits or CallerLimits()
--- a/src/currantspur/messages/traffic.py
+++ b/src/currantspur/messages/traffic.py
@@ -1,27 +1,27 @@
 """Define the messages of a request and of a look-up."""
 
-from typing import Literal
+from typing import Final, Literal
 
 from currantspur.messages.base import Message
-from currantspur.messages.configuration import Route, Target
+from currantspur.messages.belief import Instance
+from currantspur.messages.configuration import NO_REGIONS, Route
+from currantspur.messages.targets import Target, TargetLoad
 
 RefusalCode = Literal[
     'bad_request',
+    'body_too_large',
     'deadline_passed',
-    'duplicate',
-    'key_missing',
     'key_unknown',
-    'not_fresh',
+    'no_room',
+    'no_target',
+    'not_ready',
     'outcome_unknown',
-    'overloaded',
     'rate_exceeded',
-    'region_full',
     'route_unknown',
-    'stopping',
-    'store_away',
     'target_failed',
 ]
-Verdict = Literal['succeeded', 'failed', 'shed', 'unknown']
+NO_TARGETS: Final[frozenset[str]] = frozenset()
+Outcome = Literal['answered', 'failed', 'moved', 'shed', 'unknown']
 
 
 class Refusal(Message):
@@ -48,10 +48,11 @@
 
     __slots__ = (
         'at',
-        'deadline',
-        'idempotency_key',
+        'budget_s',
+        'host',
         'key',
         'method',
+        'object_key',
         'path',
         'request_id',
     )
@@ -62,139 +63,176 @@
         request_id: str,
         at: float,
         method: str,
+        host: str,
         path: str,
         key: str | None = None,
-        idempotency_key: str | None = None,
-        deadline: float | None = None,
+        object_key: str | None = None,
+        budget_s: float | None = None,
     ) -> None:
-        """Take times as monotonic seconds of this instance."""
+        """Take the seconds that the caller waits, if it said so."""
         self.request_id = request_id
         self.at = at
         self.method = method
+        self.host = host
         self.path = path
         self.key = key
-        self.idempotency_key = idempotency_key
-        self.deadline = deadline
+        self.object_key = object_key
+        self.budget_s = budget_s
 
 
 class Passage(Message):
-    """Carry an arrival through the filters with what they found out."""
+    """Hold what admission found out about a request."""
 
-    __slots__ = ('arrival', 'deadline', 'key_id', 'refusal', 'route', 'team')
+    __slots__ = (
+        'arrival',
+        'body_bytes',
+        'deadline',
+        'home_regions',
+        'refusal',
+        'route',
+        'service',
+        'team',
+        'version',
+    )
 
     def __init__(self, *, arrival: Arrival) -> None:
         self.arrival = arrival
+        self.body_bytes = 0
         self.route: Route | None = None
+        self.service = ''
         self.team: str | None = None
-        self.key_id: str | None = None
-        self.deadline = arrival.deadline
-        self.refusal: Refusal | None = None
-
-
-class Confirmation(Message):
-    """Ask whether an admitted passage may still be carried."""
-
-    __slots__ = ('at', 'passage', 'refusal')
-
-    def __init__(self, *, passage: Passage, at: float = 0.0) -> None:
-        self.passage = passage
-        self.at = at
+        self.deadline = float('inf')
+        self.home_regions: frozenset[str] = frozenset()
         self.refusal: Refusal | None = None
+        self.version = 0
 
 
-class Assignment(Message):
-    """Give one slot of a target to a request until it is released."""
+class Outgoing(Message):
+    """Describe what a target gets, without the body."""
 
-    __slots__ = ('request_id', 'taken_at', 'target')
+    __slots__ = ('headers', 'method', 'path', 'request_id')
 
     def __init__(
-        self, *, request_id: str, target: Target, taken_at: float = 0.0
+        self,
+        *,
+        request_id: str,
+        method: str,
+        path: str,
+        headers: tuple[tuple[str, str], ...],
     ) -> None:
-        """Take when the slot was given in monotonic seconds."""
         self.request_id = request_id
-        self.target = target
-        self.taken_at = taken_at
+        self.method = method
+        self.path = path
+        self.headers = headers
 
 
-class LookupQuery(Message):
-    """Ask which entry instances a client should use."""
+class TargetRequest(Message):
+    """Ask for a target to send a request to."""
 
-    __slots__ = ('at', 'client', 'service', 'team')
+    __slots__ = (
+        'attempt',
+        'deadline',
+        'home_regions',
+        'object_key',
+        'request_id',
+        'route',
+        'service',
+        'without',
+    )
 
     def __init__(
         self,
         *,
-        at: float,
-        client: bytes,
-        service: str | None = None,
-        team: str | None = None,
+        request_id: str,
+        route: Route,
+        service: str,
+        deadline: float,
+        object_key: str | None = None,
+        home_regions: frozenset[str] = NO_REGIONS,
+        attempt: int = 0,
+        without: frozenset[str] = NO_TARGETS,
     ) -> None:
-        """Take the client's address as 4 or 16 packed bytes."""
-        self.at = at
-        self.client = client
+        """Take the deadline in monotonic seconds and targets to leave out."""
+        self.request_id = request_id
+        self.route = route
         self.service = service
-        self.team = team
+        self.deadline = deadline
+        self.object_key = object_key
+        self.home_regions = home_regions
+        self.attempt = attempt
+        self.without = without
 
 
-class Entry(Message):
-    """Name an entry instance with its share of the caller's requests."""
+class Assignment(Message):
+    """Give a request to a target."""
 
-    __slots__ = ('address', 'availability_zone', 'instance', 'weight')
+    __slots__ = (
+        'expected_s',
+        'is_free',
+        'is_warm',
+        'request',
+        'taken_at',
+        'target',
+    )
 
     def __init__(
         self,
         *,
-        instance: str,
-        address: str,
-        availability_zone: str,
-        weight: float,
-    ) -> None:
-        self.instance = instance
-        self.address = address
-        self.availability_zone = availability_zone
-        self.weight = weight
-
-
-class LookupAnswer(Message):
-    """List entries and the seconds for which a caller may keep them."""
-
-    __slots__ = ('cache_s', 'entries', 'site')
-
-    def __init__(
-        self, *, entries: tuple[Entry, ...], cache_s: float, site: str | None
+        request: TargetRequest,
+        target: Target,
+        taken_at: float,
+        expected_s: float,
+        is_warm: bool,
+        is_free: bool,
     ) -> None:
-        self.entries = entries
-        self.cache_s = cache_s
-        self.site = site
+        """Take whether it knows the object and had a free slot."""
+        self.request = request
+        self.target = target
+        self.taken_at = taken_at
+        self.expected_s = expected_s
+        self.is_warm = is_warm
+        self.is_free = is_free
 
 
-class Outgoing(Message):
-    """Describe the request that a target gets; its body follows as chunks."""
+class TargetRelease(Message):
+    """Tell how an exchange with a target ended."""
 
-    __slots__ = ('headers', 'method', 'path')
+    __slots__ = ('assignment', 'load', 'outcome')
 
     def __init__(
-        self, *, method: str, path: str, headers: tuple[tuple[str, str], ...]
+        self,
+        *,
+        assignment: Assignment,
+        outcome: Outcome,
+        load: TargetLoad | None = None,
     ) -> None:
-        self.method = method
-        self.path = path
-        self.headers = headers
+        self.assignment = assignment
+        self.outcome = outcome
+        self.load = load
 
 
 class AnswerHead(Message):
-    """Open an answer with its status and headers."""
+    """Hold the status and headers of an answer."""
 
-    __slots__ = ('headers', 'status')
+    __slots__ = ('body', 'headers', 'load', 'status')
 
     def __init__(
-        self, *, status: int, headers: tuple[tuple[str, str], ...]
+        self,
+        *,
+        status: int,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes | None = None,
+        load: TargetLoad | None = None,
     ) -> None:
+        """Take the whole body where it is there already."""
         self.status = status
         self.headers = headers
+        self.body = body
+        self.load = load
 
 
 class AnswerChunk(Message):
-    """Carry a piece of an answer's body."""
+    """Hold a piece of the body of an answer."""
 
     __slots__ = ('body',)
 
@@ -202,48 +240,23 @@
         self.body = body
 
 
-class SlotRequest(Message):
-    """Ask for a slot of a target before the deadline."""
-
-    __slots__ = (
-        'attempt',
-        'deadline',
-        'request_id',
-        'service',
-        'team',
-        'without',
-    )
-
-    def __init__(
-        self,
-        *,
-        request_id: str,
-        service: str,
-        team: str | None,
-        deadline: float,
-        without: frozenset[str] | None = None,
-        attempt: int = 0,
-    ) -> None:
-        """Take the deadline in monotonic seconds and targets to leave out."""
-        self.request_id = request_id
-        self.service = service
-        self.team = team
-        self.deadline = deadline
-        self.without = without or frozenset()
-        self.attempt = attempt
-
+class LookupQuery(Message):
+    """Ask which instances a caller should use."""
 
-class SlotRelease(Message):
-    """Give a slot back with what came of the exchange."""
+    __slots__ = ('availability_zone', 'region')
 
-    __slots__ = ('assignment', 'verdict')
+    def __init__(self, *, region: str, availability_zone: str) -> None:
+        self.region = region
+        self.availability_zone = availability_zone
 
-    def __init__(self, *, assignment: Assignment, verdict: Verdict) -> None:
-        self.assignment = assignment
-        self.verdict = verdict
 
+class LookupAnswer(Message):
+    """Name the instances that a caller should use, and for how long."""
 
-class Expiry(Message):
-    """Remind a task that the time of something it holds has come."""
+    __slots__ = ('cache_s', 'entries')
 
-    __slots__ = ()
+    def __init__(
+        self, *, entries: tuple[Instance, ...], cache_s: float
+    ) -> None:
+        self.entries = entries
+        self.cache_s = cache_s
--- a/src/currantspur/pipelines/__init__.py
+++ b/src/currantspur/pipelines/__init__.py
@@ -1,21 +1,15 @@
-"""Join filters into the pipelines that each stream of messages runs through."""
+"""Join filters into the streams that requests and readings pass through."""
 
-from currantspur.pipelines.admission import (
-    AdmissionState,
-    assemble_admission,
-    assemble_spending,
-)
-from currantspur.pipelines.confirmation import assemble_confirmation
+from currantspur.pipelines.admission import AdmissionState, assemble_admission
 from currantspur.pipelines.filter import Filter, Gate, Pipeline
-from currantspur.pipelines.lookup import assemble_lookup
+from currantspur.pipelines.placement import PlacementState, place
 
 __all__ = (
     'AdmissionState',
     'Filter',
     'Gate',
     'Pipeline',
+    'PlacementState',
     'assemble_admission',
-    'assemble_confirmation',
-    'assemble_lookup',
-    'assemble_spending',
+    'place',
 )
--- a/src/currantspur/pipelines/admission.py
+++ b/src/currantspur/pipelines/admission.py
@@ -1,57 +1,74 @@
-"""Admit requests: route, deadline, freshness, team by key, limits."""
+"""Admit requests: route, team by key, service, time, rate."""
 
 from collections.abc import Iterable, Iterator
 
-from currantspur.decisions.freshness import Freshness
-from currantspur.decisions.holdings import Holdings
+from currantspur.decisions.allowance import Allowance
 from currantspur.decisions.identity import KeyRing
 from currantspur.decisions.routing import RouteTable
-from currantspur.messages import (
-    Arrival,
-    Passage,
-    Refusal,
-    name_region_limit,
-    name_team_limit,
-)
+from currantspur.decisions.splitting import Splitter
+from currantspur.messages import Arrival, Passage, Refusal
 from currantspur.pipelines.filter import Filter, Gate, Pipeline
 
+# Callers of an instance that knows no configuration yet come back soon: it
+# reads one within a few round trips to the store.
+NOT_READY_WAIT_S = 0.3
+LEAST_WAIT_S = 0.05
+
 
 class AdmissionState:
     """Hold what the admission filters read; one task owns it."""
 
     __slots__ = (
-        'freshness',
-        'holdings',
+        'allowances',
+        'asked',
+        'body_bytes',
         'keys',
-        'region',
         'routes',
+        'splitter',
         'version',
     )
 
-    def __init__(self, *, freshness: Freshness) -> None:
+    def __init__(self) -> None:
         self.version = 0
-        self.freshness = freshness
-        self.routes = RouteTable(())
-        self.keys = KeyRing(())
-        self.region: str | None = None
-        self.holdings = Holdings()
-
-    def is_current(self, at: float) -> bool:
-        """Tell whether keys and parts are proven to be the newest."""
-        return self.holdings.version >= self.version and (
-            self.freshness.is_fresh(at, version=self.version)
-        )
+        self.body_bytes = 0
+        self.routes = RouteTable()
+        self.keys = KeyRing()
+        self.splitter = Splitter()
+        self.allowances: dict[str, Allowance] = {}
+        self.asked: dict[str, int] = {}
 
 
 class Receive(Filter[Arrival, Passage]):
     """Open a passage for each arrival."""
 
-    __slots__ = ()
+    __slots__ = ('state',)
+
+    def __init__(self, state: AdmissionState) -> None:
+        self.state = state
 
     def run(self, stream: Iterable[Arrival]) -> Iterator[Passage]:
         """Yield a passage for each arrival."""
         for arrival in stream:
-            yield Passage(arrival=arrival)
+            passage = Passage(arrival=arrival)
+            passage.version = self.state.version
+            passage.body_bytes = self.state.body_bytes
+            yield passage
+
+
+class CheckVersion(Gate):
+    """Refuse everything until a configuration is known."""
+
+    __slots__ = ()
+
+    def judge(self, passage: Passage) -> Refusal | None:
+        """Say when to come back."""
+        if not passage.version:
+            return Refusal(
+                code='not_ready',
+                detail='this instance knows no configuration yet',
+                retry_after_s=NOT_READY_WAIT_S,
+            )
+        return None
 
 
 class MatchRoute(Gate):
@@ -65,40 +82,22 @@
     def judge(self, passage: Passage) -> Refusal | None:
         """Refuse paths without a route and deadlines already passed."""
         arrival = passage.arrival
-        passage.route = self.state.routes.match(arrival.path)
-        if passage.route is None:
+        route = self.state.routes.match(arrival.host, arrival.path)
+        if route is None:
             return Refusal(code='route_unknown', detail='no route for the path')
-        latest = arrival.at + passage.route.deadline_s
-        passage.deadline = min(arrival.deadline or latest, latest)
-        if passage.deadline <= arrival.at:
+        passage.route = route
+        passage.home_regions = route.home_regions
+        budget_s = route.timeout_s
+        if arrival.budget_s is not None:
+            budget_s = min(budget_s, arrival.budget_s)
+        passage.deadline = arrival.at + budget_s
+        if budget_s <= 0:
             return Refusal(code='deadline_passed', detail='no time is left')
         return None
 
 
-class ProveFreshness(Gate):
-    """Refuse keyed requests while the version in force is not proven."""
-
-    __slots__ = ('state',)
-
-    def __init__(self, state: AdmissionState) -> None:
-        self.state = state
-
-    def judge(self, passage: Passage) -> Refusal | None:
-        """Let open routes and fresh instances go on."""
-        state = self.state
-        if passage.route is None or passage.route.access == 'open':
-            return None
-        if state.is_current(passage.arrival.at):
-            return None
-        return Refusal(
-            code='not_fresh',
-            detail='this instance cannot prove that its keys are current',
-            retry_after_s=1.0,
-        )
-
-
 class IdentifyTeam(Gate):
-    """Find the team of the key on keyed routes."""
+    """Find the team of the key on keyed routes; drop the key."""
 
     __slots__ = ('state',)
 
@@ -106,26 +105,27 @@
         self.state = state
 
     def judge(self, passage: Passage) -> Refusal | None:
-        """Refuse missing, unknown and withdrawn keys; drop the key."""
+        """Refuse missing, unknown and withdrawn keys."""
         arrival = passage.arrival
         key = arrival.key
         arrival.key = None
-        if passage.route is None or passage.route.access == 'open':
+        route = passage.route
+        if route is None or route.is_open or not self.state.keys.by_digest:
             return None
-        if key is None:
-            return Refusal(code='key_missing', detail='the route needs a key')
-        found = self.state.keys.find(key)
-        if found is None:
+        team = self.state.keys.find(key)
+        if team is None:
             return Refusal(
                 code='key_unknown', detail='the key is unknown or withdrawn'
             )
-        passage.team = found.team
-        passage.key_id = found.key_id
+        passage.team = team.name
+        passage.home_regions = _join_homes(
+            passage.home_regions, team.home_regions
+        )
         return None
 
 
-class SpendLimits(Gate):
-    """Spend a token of this instance's part of each limit, or of none."""
+class SpendRate(Gate):
+    """Take one request of this instance's part of the team's rate."""
 
     __slots__ = ('state',)
 
@@ -133,61 +133,56 @@
         self.state = state
 
     def judge(self, passage: Passage) -> Refusal | None:
-        """Refuse when a part is used up."""
-        holdings = self.state.holdings
-        at = passage.arrival.at
-        limits = list_limits_of(self.state, passage)
-        for limit in limits:
-            if holdings.count(limit, at) < 1:
-                return _refuse(passage, limit, holdings.wait_s(limit))
-        for limit in limits:
-            holdings.spend(limit, at)
-        return None
+        """Refuse when the part is used up, with the time to wait."""
+        team = passage.team
+        if team is None:
+            return None
+        asked = self.state.asked
+        asked[team] = asked.get(team, 0) + 1
+        allowance = self.state.allowances.get(team)
+        if allowance is None:
+            return None
+        wait_s = allowance.spend(passage.arrival.at)
+        if wait_s is None:
+            return None
+        return Refusal(
+            code='rate_exceeded',
+            detail='the rate of the team is used up',
+            retry_after_s=max(LEAST_WAIT_S, wait_s),
+        )
+
 
+class PickService(Filter[Passage, Passage]):
+    """Pick the service by the weights of the route."""
 
-def list_limits_of(state: AdmissionState, passage: Passage) -> list[str]:
-    """Return the limits that a request spends of, its team's first."""
-    limits = []
-    if passage.team is not None:
-        limits.append(name_team_limit(passage.team))
-    if state.region is not None:
-        limits.append(name_region_limit(state.region))
-    return limits
+    __slots__ = ('state',)
 
+    def __init__(self, state: AdmissionState) -> None:
+        self.state = state
 
-def find_short_limit(state: AdmissionState, passage: Passage) -> str | None:
-    """Return the limit for which a request was refused."""
-    code = passage.refusal.code if passage.refusal else None
-    limits = list_limits_of(state, passage)
-    short = {'rate_exceeded': limits[:1], 'region_full': limits[-1:]}
-    return next(iter(short.get(code or '', ())), None)
+    def run(self, stream: Iterable[Passage]) -> Iterator[Passage]:
+        """Yield every passage; those admitted have a service."""
+        for passage in stream:
+            if passage.refusal is None and passage.route is not None:
+                passage.service = self.state.splitter.pick(passage.route)
+            yield passage
 
 
 def assemble_admission(state: AdmissionState) -> Pipeline:
-    """Join the filters that every request passes before it gets a slot."""
+    """Join the filters that every request passes before it gets a target."""
     return Pipeline(
-        Receive(),
+        Receive(state),
+        CheckVersion(),
         MatchRoute(state),
-        ProveFreshness(state),
         IdentifyTeam(state),
-        SpendLimits(state),
+        SpendRate(state),
+        PickService(state),
     )
 
 
-def assemble_spending(state: AdmissionState) -> Pipeline:
-    """Join the filters that a request passes again after it waited."""
-    return Pipeline(ProveFreshness(state), SpendLimits(state))
-
-
-def _refuse(passage: Passage, limit: str, wait_s: float | None) -> Refusal:
-    if passage.team is not None and limit == name_team_limit(passage.team):
-        return Refusal(
-            code='rate_exceeded',
-            detail='the rate of the team is used up',
-            retry_after_s=wait_s,
-        )
-    return Refusal(
-        code='region_full',
-        detail='the region takes no more requests now',
-        retry_after_s=wait_s,
-    )
+def _join_homes(ours: frozenset[str], theirs: frozenset[str]) -> frozenset[str]:
+    # Where both bind, a request with no region in common runs nowhere: an
+    # empty set would mean everywhere.
+    if not ours or not theirs:
+        return ours | theirs
+    return (ours & theirs) or frozenset(('',))
--- /dev/null
+++ b/src/currantspur/pipelines/placement.py
@@ -0,0 +1,156 @@
+"""Narrow the targets of a service down to the one that gets a request."""
+
+from collections.abc import Iterable, Iterator, Mapping
+
+from currantspur.decisions.bucket import Bucket
+from currantspur.decisions.nearness import Nearness
+from currantspur.decisions.placement import (
+    Candidate,
+    Placement,
+    rank_by_affinity,
+)
+from currantspur.decisions.target_state import TargetState
+from currantspur.decisions.work import WorkTimes
+from currantspur.messages import TargetRequest
+
+States = Iterable[TargetState]
+
+
+class PlacementState:
+    """Hold what the filters read; the dispatcher owns it."""
+
+    __slots__ = (
+        'by_service',
+        'cold_rates',
+        'evacuated',
+        'nearness',
+        'placement',
+        'size',
+        'times',
+    )
+
+    def __init__(self, nearness: Nearness) -> None:
+        self.nearness = nearness
+        self.placement = Placement(nearness)
+        self.by_service: Mapping[str, list[TargetState]] = {}
+        self.cold_rates: Mapping[str, float] = {}
+        self.evacuated: frozenset[str] = frozenset()
+        self.size = 1
+        self.times: dict[str, WorkTimes] = {}
+
+    def expect(self, request: TargetRequest) -> WorkTimes:
+        """Return what is known of the work of a route."""
+        known = self.times.get(request.route.name)
+        if known is None:
+            known = WorkTimes(request.route)
+            self.times[request.route.name] = known
+        return known
+
+
+def without_leaving(states: States) -> Iterator[TargetState]:
+    """Leave out targets that are about to stop."""
+    return (one for one in states if not one.target.is_leaving)
+
+
+def without_evacuated(
+    states: States, evacuated: frozenset[str]
+) -> Iterator[TargetState]:
+    """Leave out targets of evacuated availability zones."""
+    return (
+        one for one in states if one.target.availability_zone not in evacuated
+    )
+
+
+def within_homes(
+    states: States, homes: frozenset[str], nearness: Nearness
+) -> Iterator[TargetState]:
+    """Keep targets in the home regions, if there are any."""
+    for one in states:
+        region = nearness.find_region(one.target.availability_zone)
+        if not homes or region in homes:
+            yield one
+
+
+def without_tried(
+    states: States, tried: frozenset[str]
+) -> Iterator[TargetState]:
+    """Leave out targets that failed this request before."""
+    return (one for one in states if one.target.name not in tried)
+
+
+def paced(
+    states: States, state: PlacementState, at: float
+) -> Iterator[TargetState]:
+    """Leave out cold targets that had their share of requests."""
+    for one in states:
+        if not one.is_cold(at) or open_pacer(one, state, at).level >= 1:
+            yield one
+
+
+def open_pacer(
+    target_state: TargetState, state: PlacementState, at: float
+) -> Bucket:
+    """Return what a cold target may get from this instance."""
+    total = state.cold_rates.get(target_state.target.service, 0.0)
+    rate = total / max(1, state.size)
+    pacer = target_state.pacer
+    if pacer is None:
+        pacer = Bucket(rate=rate, burst=1.0, at=at, level=1.0)
+        target_state.pacer = pacer
+    pacer.resize(rate=rate, burst=1.0, at=at)
+    return pacer
+
+
+def estimated(
+    states: States, request: TargetRequest, state: PlacementState, at: float
+) -> Iterator[Candidate]:
+    """Estimate the load of each target."""
+    return (state.placement.estimate(one, request, at) for one in states)
+
+
+def with_room(candidates: Iterable[Candidate]) -> Iterator[Candidate]:
+    """Leave out targets that would reject the request."""
+    return (one for one in candidates if not one.is_full)
+
+
+def priced(
+    candidates: Iterable[Candidate],
+    request: TargetRequest,
+    state: PlacementState,
+    at: float,
+) -> Iterator[Candidate]:
+    """Set the cost of each target, in the order of the object."""
+    times = state.expect(request)
+    ranked = rank_by_affinity(list(candidates), request.object_key)
+    ranks: dict[str, int] = {}
+    for one in ranked:
+        zone = one.state.target.availability_zone
+        region = state.nearness.find_region(zone)
+        rank = ranks.get(region, 0)
+        ranks[region] = rank + 1
+        state.placement.price(one, request, times, rank=rank, at=at)
+        yield one
+
+
+def list_eligible(
+    request: TargetRequest, state: PlacementState
+) -> Iterator[TargetState]:
+    """Join the filters that say which targets may run a request at all."""
+    states = iter(state.by_service.get(request.service, ()))
+    states = without_leaving(states)
+    states = without_evacuated(states, state.evacuated)
+    states = within_homes(states, request.home_regions, state.nearness)
+    return without_tried(states, request.without)
+
+
+def place(
+    request: TargetRequest, state: PlacementState, at: float
+) -> Candidate | None:
+    """Join all filters and return the cheapest target that has room."""
+    states = paced(list_eligible(request, state), state, at)
+    candidates = with_room(estimated(states, request, state, at))
+    return min(
+        priced(candidates, request, state, at),
+        key=lambda one: one.cost,
+        default=None,
+    )
--- a/src/currantspur/platform/__init__.py
+++ b/src/currantspur/platform/__init__.py
@@ -1,31 +1,7 @@
-"""Reach the platform through abstract ports."""
+"""Speak the users' platform: its names, formats and calls, nothing else."""
 
-from currantspur.platform.ports import (
-    ABSENT,
-    InstanceList,
-    ObjectStore,
-    Platform,
-    Row,
-    Table,
-    Transaction,
-)
-from currantspur.platform.versions import (
-    publish,
-    publish_sections,
-    read_head,
-    read_section,
-)
+from currantspur.platform.names import PLATFORM_NAMES
+from currantspur.platform.rows import OperatorRows, TargetRows
+from currantspur.platform.store import PlatformStore
 
-__all__ = (
-    'ABSENT',
-    'InstanceList',
-    'ObjectStore',
-    'Platform',
-    'Row',
-    'Table',
-    'Transaction',
-    'publish',
-    'publish_sections',
-    'read_head',
-    'read_section',
-)
+__all__ = ('PLATFORM_NAMES', 'OperatorRows', 'PlatformStore', 'TargetRows')
--- a/src/currantspur/settings/daemon.py
+++ b/src/currantspur/settings/daemon.py
@@ -1,41 +1,31 @@
 """Read the settings of one entry daemon."""
 
-from currantspur.messages import Operator
+from collections.abc import Mapping
+
 from currantspur.messages.base import Message
-from currantspur.settings.configuration import read_operator
+from currantspur.messages.limits import FleetLimits
 from currantspur.settings.document import Cursor, Document
-from currantspur.settings.tls import (
-    TlsFiles,
-    read_caller_tls,
-    read_peer_tls,
-)
-
-FRESHNESS_S = 1.5
-POLL_S = 0.4
-LEAVE_S = 30.0
-SHORTEST_S = 0.01
+
+DAEMON_NAMES = frozenset(('instance', 'listen', 'peer', 'store'))
 LONGEST_S = 3600.0
-DAEMON_NAMES = frozenset(('instance', 'listen', 'peer', 'admin', 'platform'))
+KNOWN_LIMITS = FleetLimits()
 
 
 class DaemonSettings(Message):
-    """Tell a daemon who it is, where it listens and where the platform is."""
+    """Tell a daemon who it is, where it listens and where the store is."""
 
     __slots__ = (
-        'admin',
         'availability_zone',
         'collector',
-        'freshness_s',
+        'directory',
         'instance',
-        'leave_s',
+        'limits',
         'listen',
-        'operators',
+        'metrics',
         'peer',
-        'peer_tls',
-        'platform',
-        'poll_s',
-        'seeds',
-        'tls',
+        'ready',
+        'regions',
+        'store',
     )
 
     def __init__(
@@ -43,34 +33,33 @@
         *,
         instance: str,
         availability_zone: str,
+        regions: Mapping[str, str],
         listen: str,
+        ready: str,
+        directory: str,
         peer: str,
-        admin: str,
-        platform: str,
+        metrics: str,
+        store: str,
+        limits: FleetLimits = KNOWN_LIMITS,
         collector: str | None = None,
-        freshness_s: float = FRESHNESS_S,
-        poll_s: float = POLL_S,
-        leave_s: float = LEAVE_S,
-        operators: tuple[Operator, ...] = (),
-        seeds: tuple[str, ...] = (),
-        tls: TlsFiles | None = None,
-        peer_tls: TlsFiles | None = None,
     ) -> None:
-        """Take addresses as IP numbers with ports and times in seconds."""
+        """Take addresses as IP numbers with ports, and regions by zone."""
         self.instance = instance
         self.availability_zone = availability_zone
+        self.regions = regions
         self.listen = listen
+        self.ready = ready
+        self.directory = directory
         self.peer = peer
-        self.admin = admin
-        self.platform = platform
+        self.metrics = metrics
+        self.store = store
+        self.limits = limits
         self.collector = collector
-        self.freshness_s = freshness_s
-        self.poll_s = poll_s
-        self.leave_s = leave_s
-        self.operators = operators
-        self.seeds = seeds
-        self.tls = tls
-        self.peer_tls = peer_tls
+
+    @property
+    def region(self) -> str:
+        """The region of the availability zone."""
+        return self.regions.get(self.availability_zone, self.availability_zone)
 
 
 def read_daemon_settings(text: str, *, file: str) -> DaemonSettings:
@@ -80,20 +69,15 @@
     settings = DaemonSettings(
         instance=root.text('instance'),
         availability_zone=root.text('availability_zone'),
+        regions=_read_regions(root),
         listen=root.address('listen'),
+        ready=root.address('ready'),
+        directory=root.address('directory'),
         peer=root.address('peer'),
-        admin=root.address('admin'),
-        platform=root.address('platform'),
+        metrics=root.address('metrics'),
+        store=root.address('store'),
+        limits=_read_limits(root.child('limits')),
         collector=_read_collector(root),
-        freshness_s=root.number(
-            'freshness_s', FRESHNESS_S, low=0.1, high=LONGEST_S
-        ),
-        poll_s=root.number('poll_s', POLL_S, low=SHORTEST_S, high=LONGEST_S),
-        leave_s=root.number('leave_s', LEAVE_S, high=LONGEST_S),
-        operators=tuple(map(read_operator, root.each('operators'))),
-        seeds=tuple(seed.address('peer') for seed in root.each('seeds')),
-        tls=read_caller_tls(root),
-        peer_tls=read_peer_tls(root),
     )
     root.finish()
     document.close()
@@ -106,6 +90,26 @@
     return bool(names & DAEMON_NAMES)
 
 
+def _read_regions(root: Cursor) -> dict[str, str]:
+    zones = root.child('regions')
+    regions = {name: zones.text(name) for name in zones.names()}
+    zones.finish()
+    return regions
+
+
+def _read_limits(cursor: Cursor) -> FleetLimits:
+    limits = FleetLimits(
+        retry_ratio=cursor.number('retry_ratio', KNOWN_LIMITS.retry_ratio),
+        retry_slack=cursor.number('retry_slack', KNOWN_LIMITS.retry_slack),
+        retry_window_s=cursor.number(
+            'retry_window_s', KNOWN_LIMITS.retry_window_s, low=0.1
+        ),
+        grace_s=cursor.number('grace_s', KNOWN_LIMITS.grace_s, high=LONGEST_S),
+    )
+    cursor.finish()
+    return limits
+
+
 def _read_collector(root: Cursor) -> str | None:
     if root.child('collector').absent:
         return None
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -1,58 +1,40 @@
-"""Run tasks that own their state and talk by messages."""
+"""Define the tasks of an instance and the mailboxes between them."""
 
-from currantspur.tasks.administration import AdministrationTask
 from currantspur.tasks.admission import AdmissionTask
-from currantspur.tasks.attempts import Attempts, TargetPort
-from currantspur.tasks.blocks import BlockLoader
-from currantspur.tasks.body import BodySource, RequestBody
-from currantspur.tasks.changes import ChangeTask
-from currantspur.tasks.claim_sweep import ClaimSweep
-from currantspur.tasks.claims import ClaimTask
+from currantspur.tasks.carrier import Carrier
 from currantspur.tasks.clock import Clock, SystemClock
-from currantspur.tasks.committer import (
-    Committer,
-    DirectCommitter,
-    QuorumCommitter,
-)
-from currantspur.tasks.control import Control
-from currantspur.tasks.decisions import DecisionWriter
-from currantspur.tasks.exchange import Exchange
-from currantspur.tasks.health import HealthPort, HealthTask
-from currantspur.tasks.journal import Journal
-from currantspur.tasks.limits import Limits
+from currantspur.tasks.dispatcher import Dispatcher
+from currantspur.tasks.feed import Feed
+from currantspur.tasks.journal import Journal, LineSink
 from currantspur.tasks.mailbox import Letter, Mailbox
-from currantspur.tasks.peers import PeerPort
-from currantspur.tasks.steering import SteeringTask
-from currantspur.tasks.targets import TargetPool
+from currantspur.tasks.membership import Membership
+from currantspur.tasks.ports import (
+    BodySource,
+    PulsePort,
+    Reading,
+    Store,
+    TargetPort,
+)
+from currantspur.tasks.registrar import Registrar
 from currantspur.tasks.task import Task
 
 __all__ = (
-    'AdministrationTask',
     'AdmissionTask',
-    'Attempts',
-    'BlockLoader',
     'BodySource',
-    'ChangeTask',
-    'ClaimSweep',
-    'ClaimTask',
+    'Carrier',
     'Clock',
-    'Committer',
-    'Control',
-    'DecisionWriter',
-    'DirectCommitter',
-    'Exchange',
-    'HealthPort',
-    'HealthTask',
+    'Dispatcher',
+    'Feed',
     'Journal',
     'Letter',
-    'Limits',
+    'LineSink',
     'Mailbox',
-    'PeerPort',
-    'QuorumCommitter',
-    'RequestBody',
-    'SteeringTask',
+    'Membership',
+    'PulsePort',
+    'Reading',
+    'Registrar',
+    'Store',
     'SystemClock',
-    'TargetPool',
     'TargetPort',
     'Task',
 )
--- a/src/currantspur/tasks/admission.py
+++ b/src/currantspur/tasks/admission.py
@@ -1,197 +1,136 @@
-"""Own the admission state: routes, keys, limits and freshness."""
+"""Own the admission state: routes, keys and parts of the teams' rates."""
 
-from collections.abc import Callable, Iterable, Iterator
-from typing import Any
-from uuid import uuid4
+from collections.abc import Iterable
 
-from currantspur.decisions.borrowing import Borrower
-from currantspur.decisions.freshness import Freshness
+from currantspur.decisions.allowance import Allowance, share_rate
 from currantspur.decisions.identity import KeyRing
-from currantspur.decisions.lending import Authority
-from currantspur.decisions.planning import list_lenders
 from currantspur.decisions.routing import RouteTable
-from currantspur.decisions.uses import list_uses
 from currantspur.messages import (
     Arrival,
-    Confirmation,
-    InForce,
-    Loan,
-    LoanRequest,
+    Configuration,
+    ConfigurationSeen,
+    FleetView,
     Message,
-    Parts,
-    Passage,
-    Proof,
+    Team,
+    TeamDemand,
+    Tick,
 )
-from currantspur.messages.loans import LoanOutcome
-from currantspur.messages.operators import UseQuery, UseReport
-from currantspur.pipelines import (
-    AdmissionState,
-    Pipeline,
-    assemble_admission,
-    assemble_confirmation,
-    assemble_spending,
-)
-from currantspur.pipelines.admission import find_short_limit
+from currantspur.pipelines import AdmissionState, assemble_admission
 from currantspur.tasks.clock import Clock
-from currantspur.tasks.loan_desk import WAIT_S, LoanDesk, Waiting
-from currantspur.tasks.mailbox import Letter, Mailbox
+from currantspur.tasks.journal import Journal
+from currantspur.tasks.mailbox import Letter
 from currantspur.tasks.task import Task
 
+# Demand follows its newest measure by half, twice a second.
+DEMAND_GAIN = 0.5
+SHORTEST_S = 0.001
+
 
 class AdmissionTask(Task):
     """Run arrivals through the admission pipeline."""
 
     __slots__ = (
-        'availability_zone',
-        'calls',
         'clock',
-        'confirmation',
-        'desk',
-        'handlers',
+        'configuration',
+        'demand',
         'instance',
+        'journal',
+        'measured_at',
         'pipeline',
-        'spending',
         'state',
+        'view',
     )
 
     def __init__(
-        self,
-        *,
-        clock: Clock,
-        freshness_s: float,
-        instance: str = '',
-        availability_zone: str = '',
+        self, *, clock: Clock, instance: str, journal: Journal
     ) -> None:
         super().__init__()
         self.clock = clock
         self.instance = instance
-        self.availability_zone = availability_zone
-        self.calls = Mailbox()
-        self.state = AdmissionState(freshness=Freshness(limit_s=freshness_s))
+        self.journal = journal
+        self.state = AdmissionState()
         self.pipeline = assemble_admission(self.state)
-        self.confirmation = assemble_confirmation(self.state)
-        self.spending = assemble_spending(self.state)
-        self.desk = LoanDesk(
-            borrower=Borrower(
-                instance=instance, incarnation=uuid4().hex, at=clock.now()
-            ),
-            calls=self.calls,
-        )
-
-        self.handlers: dict[type[Message], Callable[[Any], Any]] = {
-            InForce: self._apply,
-            LoanOutcome: self._settle,
-            LoanRequest: self._lend,
-            Parts: self._resize,
-            Proof: self._prove,
-            UseQuery: self._report_use,
-        }
+        self.configuration = Configuration(version=0)
+        self.view = FleetView(live=(), size=1, demand={}, at=clock.now())
+        self.demand: dict[str, float] = {}
+        self.measured_at = clock.now()
 
     def receive(self, letters: Iterable[Letter]) -> None:
         """Apply what was learnt first, then judge the arrivals."""
         arrived: list[Letter] = []
-        waited: list[Letter] = []
         for letter in letters:
             if isinstance(letter.message, Arrival):
                 arrived.append(letter)
-            elif isinstance(letter.message, Confirmation):
-                waited.append(letter)
             else:
                 letter.answer(self.learn(letter.message))
-        for letter, confirmation in _run(self.confirmation, waited, self.clock):
-            letter.answer(confirmation.refusal)
-        for letter, passage in _run(self.pipeline, arrived, self.clock):
-            self._finish(_wait(letter, passage))
-        for waiting in self.desk.flush(self.clock.now()):
-            waiting.letter.answer(waiting.passage)
+        arrivals = [letter.message for letter in arrived]
+        passages = self.pipeline.run(arrivals)
+        for letter, passage in zip(arrived, passages, strict=True):
+            letter.answer(passage)
 
     def learn(self, message: Message) -> Message | None:
         """Apply what a message says and return the answer, if it has one."""
-        handle = self.handlers.get(type(message))
-        return handle(message) if handle else None
-
-    def _report_use(self, _query: UseQuery) -> UseReport:
-        uses = list_uses(self.state.holdings, self.clock.now())
-        return UseReport(uses=tuple(uses))
-
-    def _prove(self, proof: Proof) -> None:
-        self.state.freshness.accept(proof)
-        self._earn()
-
-    def _resize(self, parts: Parts) -> None:
-        self.state.holdings.resize(parts, self.clock.now())
-        self._earn()
-
-    def _earn(self) -> None:
-        """Earn until the end of a proof, if it is of the parts held."""
-        state = self.state
-        if state.freshness.version == state.holdings.version:
-            state.holdings.prove(self._fresh_until())
-
-    def _apply(self, version: InForce) -> None:
-        if version.head.version <= self.state.version:
+        if isinstance(message, ConfigurationSeen):
+            self._apply(message)
+        elif isinstance(message, FleetView):
+            self.view = message
+            self._share()
+        elif isinstance(message, Tick):
+            return self._measure()
+        return None
+
+    def _apply(self, seen: ConfigurationSeen) -> None:
+        configuration = seen.configuration
+        if configuration.version <= self.state.version:
             return
-        configuration = version.configuration
-        self.state.version = version.head.version
-        self.state.routes = RouteTable(configuration.routes)
-        self.state.keys = KeyRing(configuration.keys)
-        self.state.region = next(
-            (
-                region.name
-                for region in configuration.regions
-                if self.availability_zone in region.availability_zones
-            ),
-            None,
+        self.journal.note(
+            'version_in_force',
+            version=configuration.version,
+            before=self.state.version,
+            revision=seen.revision,
+            age_s=round(self.clock.now() - seen.at, 3),
         )
-        self.desk.version = version.head.version
-        self.desk.borrower.learn(list_lenders(version.plan, self.instance))
-
-    def _fresh_until(self) -> float:
-        freshness = self.state.freshness
-        return freshness.proven_at + freshness.limit_s
+        self.configuration = configuration
+        self.state.version = configuration.version
+        self.state.body_bytes = configuration.limits.body_bytes
+        self.state.routes = RouteTable(configuration.routes)
+        self.state.keys = KeyRing(configuration.teams)
+        limited = {team.name for team in configuration.teams if team.rate > 0}
+        for name in set(self.state.allowances) - limited:
+            self.state.allowances.pop(name)
+        self._share()
 
-    def _lend(self, request: LoanRequest) -> Loan:
+    def _share(self) -> None:
         now = self.clock.now()
-        is_current = self.state.is_current(now)
-        authority = Authority(
-            version=self.state.version,
-            until=self._fresh_until() if is_current else now,
+        for team in self.configuration.teams:
+            if team.rate > 0:
+                self._share_team(team, now)
+
+    def _share_team(self, team: Team, now: float) -> None:
+        demand = {
+            name: by_team.get(team.name, 0.0)
+            for name, by_team in self.view.demand.items()
+        }
+        share = share_rate(
+            team.rate, demand, self.instance, size=self.view.size
         )
-        return self.state.holdings.lend(request, authority, now)
-
-    def _settle(self, outcome: LoanOutcome) -> None:
+        allowance = self.state.allowances.get(team.name)
+        if allowance is None:
+            self.state.allowances[team.name] = Allowance(
+                rate=team.rate, burst=team.burst, share=share, at=now
+            )
+        else:
+            allowance.resize(
+                rate=team.rate, burst=team.burst, share=share, at=now
+            )
+
+    def _measure(self) -> TeamDemand:
         now = self.clock.now()
-        released = self.desk.settle(outcome, self.state.holdings, now)
-        for waiting in released:
-            waiting.passage.refusal = None
-            waiting.passage.arrival.at = now
-        passages = self.spending.run(one.passage for one in released)
-        for waiting, _ in zip(released, passages, strict=True):
-            self._finish(waiting)
-
-    def _finish(self, waiting: Waiting) -> None:
-        """Answer a request, or keep it while a loan is under way for it."""
-        passage = waiting.passage
-        limit = find_short_limit(self.state, passage)
-        if limit is None or not self.desk.hold(
-            limit, waiting, passage.arrival.at
-        ):
-            waiting.letter.answer(passage)
-
-
-def _run(
-    pipeline: Pipeline, letters: list[Letter], clock: Clock
-) -> Iterator[tuple[Letter, Any]]:
-    messages: list[Any] = [letter.message for letter in letters]
-    for message in messages:
-        message.at = clock.now()
-    return zip(letters, pipeline.run(messages), strict=True)
-
-
-def _wait(letter: Letter, passage: Passage) -> Waiting:
-    latest = passage.arrival.at + WAIT_S
-    return Waiting(
-        letter=letter,
-        passage=passage,
-        until=min(latest, passage.deadline or latest),
-    )
+        passed_s = max(SHORTEST_S, now - self.measured_at)
+        self.measured_at = now
+        for team in set(self.demand) | set(self.state.asked):
+            rate = self.state.asked.get(team, 0) / passed_s
+            known = self.demand.get(team, 0.0)
+            self.demand[team] = known + DEMAND_GAIN * (rate - known)
+        self.state.asked.clear()
+        return TeamDemand(by_team=dict(self.demand))
--- /dev/null
+++ b/src/currantspur/tasks/dispatcher.py
@@ -0,0 +1,253 @@
+"""Own what is known of the targets and give requests to them."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from currantspur.decisions.lapses import Lapses
+from currantspur.decisions.nearness import Nearness
+from currantspur.decisions.retries import RetryBudget
+from currantspur.decisions.target_state import TargetState
+from currantspur.messages import (
+    Assignment,
+    Configuration,
+    ConfigurationSeen,
+    EvacuationsSeen,
+    FleetView,
+    Message,
+    Refusal,
+    Target,
+    TargetRelease,
+    TargetRequest,
+    TargetsSeen,
+)
+from currantspur.messages.limits import FleetLimits
+from currantspur.pipelines.placement import (
+    PlacementState,
+    list_eligible,
+    open_pacer,
+    place,
+)
+from currantspur.tasks.clock import Clock
+from currantspur.tasks.journal import Journal
+from currantspur.tasks.mailbox import Letter
+from currantspur.tasks.task import Task
+
+# Callers come back when a queue has moved on by a few requests.
+FULL_WAIT_S = 0.3
+# A service without targets gets them back in seconds, not sooner.
+NO_TARGET_WAIT_S = 0.5
+SHORTEST_S = 0.001
+
+
+class Dispatcher(Task):
+    """Choose a target for each request and learn from how it went."""
+
+    __slots__ = (
+        'budgets',
+        'clock',
+        'configuration',
+        'handlers',
+        'journal',
+        'lapses',
+        'limits',
+        'placing',
+        'states',
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        nearness: Nearness,
+        limits: FleetLimits,
+        journal: Journal,
+    ) -> None:
+        super().__init__()
+        self.clock = clock
+        self.limits = limits
+        self.journal = journal
+        self.placing = PlacementState(nearness)
+        self.lapses = Lapses()
+        self.states: dict[str, TargetState] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+        self.configuration = Configuration(version=0)
+        self.handlers: dict[type[Message], Callable[[Any], None]] = {
+            ConfigurationSeen: self._apply,
+            EvacuationsSeen: self._evacuate,
+            FleetView: self._resize,
+            TargetRelease: self._release,
+            TargetsSeen: self._list_targets,
+        }
+
+    def receive(self, letters: Iterable[Letter]) -> None:
+        """Learn first, then choose."""
+        waiting: list[tuple[Letter, TargetRequest]] = []
+        for letter in letters:
+            message = letter.message
+            if isinstance(message, TargetRequest):
+                waiting.append((letter, message))
+            else:
+                self.learn(message)
+        for letter, request in waiting:
+            self._choose(letter, request)
+
+    def learn(self, message: Message) -> None:
+        """Apply what a message says."""
+        handle = self.handlers.get(type(message))
+        if handle is not None:
+            handle(message)
+
+    def _choose(self, letter: Letter, request: TargetRequest) -> None:
+        if letter.reply is None or letter.reply.done():
+            return
+        now = self.clock.now()
+        if self.lapses.lapsed and now > self.lapses.until:
+            self._renew(-1)
+        letter.answer(self._assign(request, now))
+
+    def _assign(
+        self, request: TargetRequest, now: float
+    ) -> Assignment | Refusal:
+        budget = self._open_budget(request.service)
+        if request.attempt and not budget.spend(now):
+            return Refusal(code='no_room', detail='no repeat is left')
+        if not request.attempt:
+            budget.earn()
+        chosen = place(request, self.placing, now)
+        if chosen is None:
+            return self._refuse(request)
+        state = chosen.state
+        state.own += 1
+        if state.is_cold(now):
+            open_pacer(state, self.placing, now).spend(now)
+        return Assignment(
+            request=request,
+            target=state.target,
+            taken_at=now,
+            expected_s=chosen.expected_s,
+            is_warm=chosen.is_warm,
+            is_free=chosen.is_free,
+        )
+
+    def _refuse(self, request: TargetRequest) -> Refusal:
+        if any(list_eligible(request, self.placing)):
+            return Refusal(
+                code='no_room',
+                detail='every target that may run it is full',
+                retry_after_s=FULL_WAIT_S,
+            )
+        return Refusal(
+            code='no_target',
+            detail='no target may run it',
+            retry_after_s=NO_TARGET_WAIT_S,
+        )
+
+    def _release(self, release: TargetRelease) -> None:
+        assignment = release.assignment
+        state = self.states.get(assignment.target.name)
+        if state is None:
+            return
+        now = self.clock.now()
+        state.own = max(0, state.own - 1)
+        if release.load is not None:
+            state.report(release.load, now)
+        if release.outcome == 'answered':
+            state.succeed(now, assignment.request.object_key)
+            self._measure(state, assignment, now)
+        elif release.outcome == 'shed':
+            state.overflow(now)
+        elif release.outcome in {'failed', 'moved'}:
+            state.fail(now)
+
+    def _measure(
+        self, state: TargetState, assignment: Assignment, now: float
+    ) -> None:
+        if not assignment.is_free:
+            return
+        zone = assignment.target.availability_zone
+        trip_s = self.placing.nearness.trip_s(zone)
+        took_s = max(SHORTEST_S, now - assignment.taken_at - trip_s)
+        times = self.placing.expect(assignment.request)
+        expected_s = times.expect(is_warm=assignment.is_warm)
+        times.learn(took_s, is_warm=assignment.is_warm)
+        state.measure(took_s / expected_s, now)
+
+    def _apply(self, seen: ConfigurationSeen) -> None:
+        configuration = seen.configuration
+        if configuration.version <= self.configuration.version:
+            return
+        self.configuration = configuration
+        self.placing.cold_rates = {
+            service.name: service.cold_per_s
+            for service in configuration.services
+        }
+        names = {service.name for service in configuration.services}
+        for gone in set(self.budgets) - names:
+            self.budgets.pop(gone)
+
+    def _evacuate(self, seen: EvacuationsSeen) -> None:
+        before = self.placing.evacuated
+        self.placing.evacuated = seen.availability_zones
+        if before == seen.availability_zones:
+            return
+        now = self.clock.now()
+        self.journal.note(
+            'evacuations',
+            availability_zones=sorted(seen.availability_zones),
+            before=sorted(before),
+            revision=seen.revision,
+        )
+        cold = {one.name: one.cold_s for one in self.configuration.services}
+        for state in self.states.values():
+            if state.target.availability_zone in before:
+                state.chill(cold.get(state.target.service, 0.0), now)
+
+    def _list_targets(self, seen: TargetsSeen) -> None:
+        self.lapses.accept(seen)
+        self._renew(seen.revision)
+
+    def _renew(self, revision: int) -> None:
+        now = self.clock.now()
+        current = self.lapses.current(now)
+        gone = set(self.states) - set(current)
+        for name in gone:
+            self.states.pop(name)
+        fresh = [self._learn_target(one, now) for one in current.values()]
+        by_service: dict[str, list[TargetState]] = {}
+        for state in self.states.values():
+            by_service.setdefault(state.target.service, []).append(state)
+        self.placing.by_service = by_service
+        if gone or any(fresh):
+            self.journal.note(
+                'targets',
+                revision=revision,
+                known=len(current),
+                new=sum(fresh),
+                gone=sorted(gone),
+                lapsed=len(self.lapses.lapsed),
+            )
+
+    def _learn_target(self, target: Target, now: float) -> bool:
+        state = self.states.get(target.name)
+        if state is not None:
+            state.learn(target, now)
+            return False
+        self.states[target.name] = TargetState(target, now)
+        return True
+
+    def _resize(self, view: FleetView) -> None:
+        self.placing.size = max(1, view.size)
+        for budget in self.budgets.values():
+            budget.resize(size=view.size, at=view.at)
+
+    def _open_budget(self, service: str) -> RetryBudget:
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(
+                ratio=self.limits.retry_ratio,
+                slack=self.limits.retry_slack,
+                window_s=self.limits.retry_window_s,
+                size=self.placing.size,
+            )
+            self.budgets[service] = budget
+        return budget
--- a/src/currantspur/tasks/journal.py
+++ b/src/currantspur/tasks/journal.py
@@ -1,43 +1,76 @@
-"""Own the record of automatic decisions."""
+"""Write decisions down: few enough lines to afford, failures first."""
 
-from collections import deque
-from collections.abc import Iterable
+from abc import ABC, abstractmethod
+from typing import Any
 
-from currantspur.decisions.explanation import select
-from currantspur.errors import MailboxFullError
-from currantspur.messages import Decision, Question
-from currantspur.tasks.mailbox import Letter, Mailbox
-from currantspur.tasks.task import Task
+from currantspur.tasks.clock import Clock
 
-KEPT_DECISIONS = 5_000
+# Lines of requests in a second; what does not fit is counted. A failing fleet
+# would else spend its processor time on telling so.
+FAILURES_PER_S = 40
+SUCCESSES_PER_S = 2
+WINDOW_S = 1.0
 
 
-class Journal(Task):
-    """Keep the latest decisions and answer questions about them."""
+class LineSink(ABC):
+    """Take structured lines without ever blocking."""
 
-    __slots__ = ('decisions', 'unwritten', 'writer')
+    __slots__ = ()
 
-    def __init__(self, *, writer: Mailbox | None = None) -> None:
-        super().__init__()
-        self.decisions: deque[Decision] = deque(maxlen=KEPT_DECISIONS)
-        self.writer = writer
-        self.unwritten = 0
+    @abstractmethod
+    def write(self, kind: str, fields: dict[str, Any]) -> None:
+        """Write a line, or count it as lost where the reader is slow."""
 
-    def receive(self, letters: Iterable[Letter]) -> None:
-        """Note decisions and answer questions in the order they came."""
-        for letter in letters:
-            message = letter.message
-            if isinstance(message, Decision):
-                self.decisions.append(message)
-                self._pass_on(message)
-            elif isinstance(message, Question):
-                matched = list(select(self.decisions, message))
-                letter.answer(matched[-message.limit :])
 
-    def _pass_on(self, decision: Decision) -> None:
-        if self.writer is None:
+class Journal:
+    """Note decisions within a bound a second."""
+
+    __slots__ = (
+        'clock',
+        'failures_left',
+        'omitted',
+        'sink',
+        'successes_left',
+        'window_until',
+    )
+
+    def __init__(self, *, sink: LineSink, clock: Clock) -> None:
+        self.sink = sink
+        self.clock = clock
+        self.window_until = 0.0
+        self.failures_left = FAILURES_PER_S
+        self.successes_left = SUCCESSES_PER_S
+        self.omitted = 0
+
+    def note(self, kind: str, **fields: Any) -> None:
+        """Note a change of what this instance believes or does."""
+        self.sink.write(kind, fields)
+
+    def note_failure(self, kind: str, **fields: Any) -> None:
+        """Note a request that was refused or failed."""
+        self._open_window()
+        if self.failures_left > 0:
+            self.failures_left -= 1
+            self.sink.write(kind, fields)
+        else:
+            self.omitted += 1
+
+    def note_success(self, kind: str, **fields: Any) -> None:
+        """Note a request that was answered."""
+        self._open_window()
+        if self.successes_left > 0:
+            self.successes_left -= 1
+            self.sink.write(kind, fields)
+        else:
+            self.omitted += 1
+
+    def _open_window(self) -> None:
+        now = self.clock.now()
+        if now < self.window_until:
             return
-        try:
-            self.writer.post(decision)
-        except MailboxFullError:
-            self.unwritten += 1
+        if self.omitted and self.failures_left <= 0:
+            self.sink.write('omitted', {'lines': self.omitted})
+        self.window_until = now + WINDOW_S
+        self.failures_left = FAILURES_PER_S
+        self.successes_left = SUCCESSES_PER_S
+        self.omitted = 0
--- a/src/currantspur/tasks/registrar.py
+++ b/src/currantspur/tasks/registrar.py
@@ -1,81 +1,90 @@
-"""Register this instance as a committer and settle what it acknowledged."""
+"""Write this instance into the store's list and read who else is there."""
 
-from currantspur.errors import PlatformError
-from currantspur.messages import InForce, Message, Registration, WitnessQuery
-from currantspur.platform import ABSENT, Platform, Transaction, read_head
-from currantspur.platform.versions import name_committer
+from collections.abc import Awaitable, Callable, Iterable, Iterator
+from random import Random
+
+from currantspur.errors import StoreAwayError
+from currantspur.messages import Instance
 from currantspur.tasks.clock import Clock
-from currantspur.tasks.mailbox import Mailbox
-from currantspur.tasks.waiting import wait_and_learn
+from currantspur.tasks.journal import Journal
+from currantspur.tasks.membership import Membership
+from currantspur.tasks.ports import InstanceCodec, Store
 
-CHECK_S = 1.0
-OPEN_WRITE_S = 5.0
+TABLE = 'instances'
+RETRY_S = 0.5
+# Pulses find instances that join; the list is read again for those whose
+# pulses were all lost.
+RENEW_S = 20.0
+# Instances that start together do not call together.
+JITTER = (0.6, 1.4)
 
 
 class Registrar:
-    """Write a new incarnation row where memory was lost or a write hangs."""
+    """Join the list at the start and leave it at the end."""
 
     __slots__ = (
         'clock',
-        'is_committer',
-        'mailbox',
-        'name',
-        'platform',
-        'relay',
+        'codec',
+        'journal',
+        'membership',
+        'own',
+        'random',
+        'store',
     )
 
     def __init__(
-        self, *, name: str, platform: Platform, relay: Mailbox, clock: Clock
+        self,
+        *,
+        own: Instance,
+        store: Store,
+        codec: InstanceCodec,
+        membership: Membership,
+        clock: Clock,
+        journal: Journal,
+        random: Random,
     ) -> None:
-        self.name = name
-        self.platform = platform
-        self.relay = relay
+        self.own = own
+        self.store = store
+        self.codec = codec
+        self.membership = membership
         self.clock = clock
-        self.mailbox = Mailbox()
-        self.is_committer = False
+        self.journal = journal
+        self.random = random
 
     async def run(self) -> None:
-        """Check until cancelled."""
+        """Join, then read the list now and then until cancelled."""
+        await self._persist(self._join)
         while True:
-            await wait_and_learn(self.mailbox, self.clock, CHECK_S, self.learn)
-            if self.is_committer:
-                await self._check()
-
-    def learn(self, message: Message) -> bool:
-        """Note whether this instance is a committer; a change is urgent."""
-        if not isinstance(message, InForce):
-            return False
-        was_committer = self.is_committer
-        self.is_committer = self.name in message.head.committers
-        return self.is_committer != was_committer
+            await self._persist(self._read)
+            await self.clock.sleep(RENEW_S * self.random.uniform(*JITTER))
 
-    async def register(self) -> None:
-        """Replace the row, then read the head, then answer peers again.
+    async def leave(self) -> None:
+        """Remove this instance from the list; peers were told already."""
+        try:
+            await self.store.write(TABLE, {self.own.name: None})
+        except StoreAwayError as error:
+            self.journal.note('leave_not_written', cause=str(error))
 
-        The new row ends every write that depends on the old one; what landed
-        before shows in the head that is read after it.
-        """
-        key = name_committer(self.name)
-        rows = await self.platform.table.read([key])
-        expected = rows[key].version if key in rows else ABSENT
-        await self.relay.ask(Registration())
-        versions = await self.platform.table.commit(
-            Transaction(
-                conditions={key: expected}, writes={key: f'after {expected}'}
-            )
-        )
-        head = await read_head(self.platform)
-        await self.relay.ask(
-            Registration(
-                row_version=versions[key], newest=head.version if head else 0
-            )
+    async def _join(self) -> None:
+        await self.store.write(
+            TABLE, {self.own.name: self.codec.encode(self.own)}
         )
 
-    async def _check(self) -> None:
-        state = await self.relay.ask(WitnessQuery())
-        if state.is_registered and state.oldest_s <= OPEN_WRITE_S:
-            return
-        try:
-            await self.register()
-        except PlatformError:
-            return
+    async def _read(self) -> None:
+        reading = await self.store.read(TABLE)
+        self.membership.known = tuple(self._decode(reading.by_key.values()))
+
+    def _decode(self, values: Iterable[bytes | None]) -> Iterator[Instance]:
+        for value in values:
+            instance = self.codec.decode(value) if value else None
+            if instance is not None:
+                yield instance
+
+    async def _persist(self, step: Callable[[], Awaitable[None]]) -> None:
+        while True:
+            try:
+                await step()
+            except StoreAwayError:
+                await self.clock.sleep(RETRY_S * self.random.uniform(*JITTER))
+            else:
+                return
--- a/src/currantspur/wire/answers.py
+++ b/src/currantspur/wire/answers.py
@@ -1,69 +1,83 @@
-"""Encode answers for callers."""
+"""Encode answers and refusals for callers."""
+
+from types import MappingProxyType
+from typing import Final
 
 import orjson
 from aiohttp import web
-from aiohttp.hdrs import METH_HEAD
 from multidict import CIMultiDict
 
-from currantspur.messages import AnswerHead, LookupAnswer
-from currantspur.wire import headers as names
+from currantspur.messages import AnswerHead, LookupAnswer, Refusal
+from currantspur.wire.names import CONTENT_LENGTH, RETRY_AFTER_HEADER, Names
 
-SHORT_BYTES = 16_384
-CONTENT_LENGTH = 'content-length'
-BODYLESS_STATUSES = frozenset((204, 304))
+STATUSES: Final = MappingProxyType(
+    {
+        'bad_request': 400,
+        'body_too_large': 413,
+        'deadline_passed': 504,
+        'key_unknown': 401,
+        'no_room': 503,
+        'no_target': 503,
+        'not_ready': 503,
+        'outcome_unknown': 502,
+        'rate_exceeded': 429,
+        'route_unknown': 404,
+        'target_failed': 503,
+    }
+)
+NOT_RUN_STATUS = 503
 
 
-def open_response(head: AnswerHead, request_id: str) -> web.StreamResponse:
-    """Return a response with the head of an answer."""
+def open_response(head: AnswerHead) -> web.StreamResponse:
+    """Return a response with the head of a long answer."""
     response = web.StreamResponse(status=head.status)
     for name, line in head.headers:
         response.headers.add(name, line)
-    response.headers[names.REQUEST_ID_HEADER] = request_id
     return response
 
 
-def is_short(request: web.Request, head: AnswerHead) -> bool:
-    """Tell whether an answer is better sent in one piece."""
-    if request.method == METH_HEAD or head.status in BODYLESS_STATUSES:
-        return False
-    announced = [
-        line for name, line in head.headers if name.lower() == CONTENT_LENGTH
-    ]
-    return bool(announced) and int(announced[0]) <= SHORT_BYTES
-
-
-def close_response(
-    head: AnswerHead, request_id: str, body: bytes
-) -> web.Response:
+def close_response(head: AnswerHead) -> web.Response:
     """Return a response with a whole answer."""
     headers = CIMultiDict(
         (name, line)
         for name, line in head.headers
         if name.lower() != CONTENT_LENGTH
     )
-    headers[names.REQUEST_ID_HEADER] = request_id
-    return web.Response(status=head.status, headers=headers, body=body)
+    return web.Response(status=head.status, headers=headers, body=head.body)
 
 
-def encode_lookup(answer: LookupAnswer) -> web.Response:
-    """Return the documented JSON form of a look-up's answer."""
-    entries = [
-        {
-            'instance': entry.instance,
-            'address': entry.address,
-            'availability_zone': entry.availability_zone,
-            'weight': entry.weight,
+def encode_refusal(
+    refusal: Refusal, request_id: str, names: Names
+) -> web.Response:
+    """Return the documented JSON form of a refusal."""
+    status = STATUSES[refusal.code]
+    if refusal.code == 'deadline_passed' and refusal.not_run:
+        status = NOT_RUN_STATUS
+    headers = {names.request_id: request_id}
+    if refusal.retry_after_s is not None:
+        headers[RETRY_AFTER_HEADER] = f'{refusal.retry_after_s:.3f}'
+    body = {
+        'error': {
+            'code': refusal.code,
+            'detail': refusal.detail,
+            'not_run': refusal.not_run,
+            'request_id': request_id,
         }
-        for entry in answer.entries
-    ]
+    }
     return web.Response(
-        body=orjson.dumps(
-            {
-                'entries': entries,
-                'cache_s': answer.cache_s,
-                'site': answer.site,
-            }
-        ),
+        status=status,
+        body=orjson.dumps(body),
         content_type='application/json',
-        headers={'Cache-Control': f'max-age={int(answer.cache_s)}'},
+        headers=headers,
+    )
+
+
+def encode_lookup(answer: LookupAnswer) -> web.Response:
+    """Return the documented JSON form of a look-up's answer."""
+    body = {
+        'addresses': [entry.address for entry in answer.entries],
+        'ttl_s': answer.cache_s,
+    }
+    return web.Response(
+        body=orjson.dumps(body), content_type='application/json'
     )
--- /dev/null
+++ b/src/currantspur/wire/logs.py
@@ -0,0 +1,91 @@
+"""Write structured lines to standard output without ever blocking."""
+
+import asyncio
+import os
+from collections import deque
+from typing import Any
+
+import orjson
+from loguru import logger
+
+from currantspur.tasks.clock import Clock
+from currantspur.tasks.journal import LineSink
+from currantspur.wire.metrics import Metrics
+
+# Lines that wait for a slow reader; more are dropped and counted.
+WAITING_LIMIT = 2000
+
+
+class NonBlockingOutput:
+    """Pass lines to a descriptor as fast as its reader takes them."""
+
+    __slots__ = ('descriptor', 'metrics', 'waiting')
+
+    def __init__(self, descriptor: int, metrics: Metrics) -> None:
+        self.descriptor = descriptor
+        self.metrics = metrics
+        self.waiting: deque[bytes] = deque()
+        os.set_blocking(descriptor, False)
+
+    def write(self, text: str) -> None:
+        """Take a line from the logger."""
+        if len(self.waiting) >= WAITING_LIMIT:
+            self.metrics.lines_lost.inc()
+            return
+        is_idle = not self.waiting
+        self.waiting.append(text.encode())
+        if is_idle:
+            self.flush()
+
+    def flush(self) -> None:
+        """Write what the reader takes now and come back for the rest."""
+        loop = asyncio.get_running_loop()
+        while self.waiting:
+            line = self.waiting.popleft()
+            try:
+                written = os.write(self.descriptor, line)
+            except BlockingIOError:
+                written = 0
+            except OSError:
+                # The reader is gone: these lines are lost for good.
+                self.metrics.lines_lost.inc(1 + len(self.waiting))
+                self.waiting.clear()
+                break
+            if written < len(line):
+                self.waiting.appendleft(line[written:])
+                loop.add_writer(self.descriptor, self.flush)
+                return
+        loop.remove_writer(self.descriptor)
+
+
+class JsonLines(LineSink):
+    """Write each line as one JSON object, through the logger."""
+
+    __slots__ = ('clock', 'instance')
+
+    def __init__(self, *, instance: str, clock: Clock) -> None:
+        self.instance = instance
+        self.clock = clock
+
+    def write(self, kind: str, fields: dict[str, Any]) -> None:
+        """Write a line, or count it as lost where the reader is slow."""
+        line = {
+            'at': round(self.clock.unix(), 3),
+            'now': round(self.clock.now(), 3),
+            'instance': self.instance,
+            'kind': kind,
+            **fields,
+        }
+        logger.bind(line=orjson.dumps(line).decode()).info(kind)
+
+
+def open_log(output: NonBlockingOutput) -> None:
+    """Send the lines of the logger to an output, and nowhere else."""
+    logger.remove()
+    logger.add(output.write, format=_format, diagnose=False, backtrace=False)
+
+
+def _format(record: Any) -> str:
+    if 'line' in record['extra']:
+        return '{extra[line]}\n'
+    return '{{"kind": "{level.name}", "text": "{message}"}}\n'
--- /dev/null
+++ b/src/currantspur/wire/metrics.py
@@ -0,0 +1,72 @@
+"""Count what an instance does, for the metrics address."""
+
+from aiohttp import web
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+SECONDS = (0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0)
+
+
+class Metrics:
+    """Hold the counters and histograms of one instance."""
+
+    __slots__ = (
+        'exchanges',
+        'lines_lost',
+        'lookups',
+        'registry',
+        'requests',
+        'seconds',
+        'store_calls',
+        'table_revision',
+    )
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            'currantspur_requests',
+            'Requests by how they ended.',
+            ('outcome',),
+            registry=self.registry,
+        )
+        self.exchanges = Counter(
+            'currantspur_exchanges',
+            'Exchanges with targets by how they ended.',
+            ('outcome',),
+            registry=self.registry,
+        )
+        self.lookups = Counter(
+            'currantspur_lookups',
+            'Look-ups answered.',
+            registry=self.registry,
+        )
+        self.lines_lost = Counter(
+            'currantspur_log_lines_lost',
+            'Log lines that the reader was too slow for.',
+            registry=self.registry,
+        )
+        self.store_calls = Counter(
+            'currantspur_store_calls',
+            'Calls to the store by kind and how they ended.',
+            ('kind', 'outcome'),
+            registry=self.registry,
+        )
+        self.table_revision = Gauge(
+            'currantspur_table_revision',
+            'Newest revision known of each table.',
+            ('table',),
+            registry=self.registry,
+        )
+        self.seconds = Histogram(
+            'currantspur_request_seconds',
+            'Seconds from the arrival of a request to its end.',
+            buckets=SECONDS,
+            registry=self.registry,
+        )
+
+    async def show(self, _request: web.BaseRequest) -> web.Response:
+        """Answer with all metrics as text."""
+        return web.Response(
+            body=generate_latest(self.registry),
+            headers={'Content-Type': CONTENT_TYPE_LATEST},
+        )
--- /dev/null
+++ b/src/currantspur/wire/peers.py
@@ -0,0 +1,139 @@
+"""Send pulses to peers in datagrams and encode entries of instances."""
+
+import asyncio
+from collections.abc import Iterable, Mapping
+from typing import Any, Final, cast
+
+import orjson
+
+from currantspur.messages import Instance, Pulse, fields
+from currantspur.settings.document import split_address
+from currantspur.tasks.mailbox import Mailbox
+from currantspur.tasks.ports import InstanceCodec, PulsePort
+
+# A larger datagram would be cut into pieces, each of which may be lost.
+DATAGRAM_BYTES = 1400
+DEMAND_DIGITS = 1
+# What reading a message of another shape raises.
+MISTAKES: Final = (ValueError, TypeError, KeyError, AttributeError)
+
+
+class JsonInstances(InstanceCodec):
+    """Write entries of instances as JSON."""
+
+    __slots__ = ()
+
+    def encode(self, instance: Instance) -> bytes:
+        """Return the bytes of an entry."""
+        return orjson.dumps(_list_fields(instance))
+
+    def decode(self, encoded: bytes) -> Instance | None:
+        """Return an entry, or None for bytes that are none."""
+        try:
+            return _read_instance(orjson.loads(encoded))
+        except MISTAKES:
+            return None
+
+
+class Datagrams(PulsePort, asyncio.DatagramProtocol):
+    """Exchange pulses over UDP; a lost one is followed by another."""
+
+    __slots__ = ('mailbox', 'malformed', 'transport')
+
+    def __init__(self, mailbox: Mailbox) -> None:
+        """Take where pulses of peers go."""
+        self.mailbox = mailbox
+        self.malformed = 0
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the socket to send by."""
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Pass a pulse on; count what is none."""
+        pulse = decode_pulse(data)
+        if pulse is None:
+            self.malformed += 1
+        else:
+            self.mailbox.post(pulse)
+
+    def send(self, pulse: Pulse, addresses: Iterable[str]) -> None:
+        """Send a pulse to each address; a lost one is not repeated."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        datagram = encode_pulse(pulse)
+        for address in addresses:
+            self.transport.sendto(datagram, split_address(address))
+
+    def close(self) -> None:
+        """Stop sending and receiving."""
+        if self.transport is not None:
+            self.transport.close()
+
+
+async def open_datagrams(address: str, mailbox: Mailbox) -> Datagrams:
+    """Bind to an IP number and port; raise OSError if it is in use."""
+    loop = asyncio.get_running_loop()
+    _, protocol = await loop.create_datagram_endpoint(
+        lambda: Datagrams(mailbox), local_addr=split_address(address)
+    )
+    return protocol
+
+
+def encode_pulse(pulse: Pulse) -> bytes:
+    """Return a datagram; the smallest demands are left out of a full one."""
+    demand = {
+        team: round(rate, DEMAND_DIGITS)
+        for team, rate in sorted(
+            pulse.demand.items(), key=lambda pair: pair[1], reverse=True
+        )
+        if rate >= 10**-DEMAND_DIGITS
+    }
+    datagram = _dump(pulse, demand)
+    while demand and len(datagram) > DATAGRAM_BYTES:
+        demand.popitem()
+        datagram = _dump(pulse, demand)
+    return datagram
+
+
+def decode_pulse(datagram: bytes) -> Pulse | None:
+    """Return a pulse, or None for bytes that are none."""
+    try:
+        return _read_pulse(orjson.loads(datagram))
+    except MISTAKES:
+        return None
+
+
+def _dump(pulse: Pulse, demand: Mapping[str, float]) -> bytes:
+    return orjson.dumps(
+        {
+            'instance': _list_fields(pulse.instance),
+            'life': pulse.life,
+            'number': pulse.number,
+            'leaving': pulse.is_leaving,
+            'demand': demand,
+            'revisions': pulse.revisions,
+        }
+    )
+
+
+def _read_pulse(plain: Any) -> Pulse:
+    demand, revisions = plain['demand'], plain['revisions']
+    return Pulse(
+        instance=_read_instance(plain['instance']),
+        life=int(plain['life']),
+        number=int(plain['number']),
+        is_leaving=bool(plain['leaving']),
+        demand={str(key): float(rate) for key, rate in demand.items()},
+        revisions={str(key): int(one) for key, one in revisions.items()},
+    )
+
+
+def _list_fields(instance: Instance) -> dict[str, str]:
+    return dict(fields(instance))
+
+
+def _read_instance(plain: Any) -> Instance:
+    known = Instance.__slots__
+    return Instance(**{name: str(plain[name]) for name in known})
--- a/src/currantspur/wire/server.py
+++ b/src/currantspur/wire/server.py
@@ -1,15 +1,18 @@
-"""Bind applications to addresses."""
+"""Bind handlers to addresses."""
 
 import logging
-from ssl import SSLContext
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from aiohttp.http import HttpProcessingError
 
 from currantspur.errors import ListenError
-from currantspur.settings import split_address
+from currantspur.settings.document import split_address
 
-DRAIN_S = 30.0
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+HEADER_BYTES = 65_536
+# The library would else wait for open requests itself; departure does that.
+SHUTDOWN_S = 0.1
 
 
 class HideMalformed(logging.Filter):
@@ -31,24 +34,41 @@
     return opened
 
 
-async def open_server(
-    application: web.Application,
-    address: str,
-    ssl_context: SSLContext | None = None,
-) -> web.AppRunner:
+class Server:
+    """Hold a listening socket and the connections it took."""
+
+    __slots__ = ('runner', 'site')
+
+    def __init__(self, runner: web.ServerRunner, site: web.TCPSite) -> None:
+        self.runner = runner
+        self.site = site
+
+    async def stop_listening(self) -> None:
+        """Take no new connections; open ones go on."""
+        await self.site.stop()
+
+    async def close(self) -> None:
+        """Close everything."""
+        await self.runner.cleanup()
+
+
+async def open_server(handler: Handler, address: str) -> Server:
     """Serve at an IP number and port; raise ListenError if it is in use."""
-    runner = web.AppRunner(
-        application,
+    served = web.Server(
+        handler,
         access_log=None,
         logger=open_logger(),
-        shutdown_timeout=DRAIN_S,
         handler_cancellation=True,
+        max_line_size=HEADER_BYTES,
+        max_field_size=HEADER_BYTES,
     )
+    runner = web.ServerRunner(served, shutdown_timeout=SHUTDOWN_S)
     await runner.setup()
     host, port = split_address(address)
+    site = web.TCPSite(runner, host, port, reuse_address=True)
     try:
-        await web.TCPSite(runner, host, port, ssl_context=ssl_context).start()
+        await site.start()
     except OSError as error:
         await runner.cleanup()
         raise ListenError(f'{address}: {error.strerror}') from error
-    return runner
+    return Server(runner, site)
--- a/src/currantspur/wire/targets.py
+++ b/src/currantspur/wire/targets.py
@@ -1,6 +1,7 @@
 """Send requests to targets over HTTP."""
 
-from collections.abc import AsyncGenerator, AsyncIterator
+import asyncio
+from collections.abc import AsyncGenerator
 from http import HTTPStatus
 from types import SimpleNamespace
 from typing import Any
@@ -9,25 +10,33 @@
 
 from currantspur.errors import (
     TargetError,
+    TargetMovedError,
     TargetShedError,
     TargetTimeoutError,
 )
-from currantspur.messages import AnswerChunk, AnswerHead, Outgoing, Target
-from currantspur.tasks.attempts import TargetPort
-from currantspur.wire.headers import (
-    NOT_FOR_CALLERS,
-    NOT_RUN_HEADER,
-    REQUEST_ID_HEADER,
-    keep_headers,
+from currantspur.messages import (
+    AnswerChunk,
+    AnswerHead,
+    Outgoing,
+    Target,
+    TargetLoad,
 )
+from currantspur.tasks.ports import TargetPort
+from currantspur.wire.names import CONTENT_LENGTH, Names, keep_headers
 from currantspur.wire.resend import forbid_resend
+from currantspur.wire.sockets import open_probed
 
+MS_PER_S = 1000
 CHUNK_BYTES = 65_536
+# Answers up to this size are checked whole before the caller gets a byte.
+WHOLE_BYTES = 262_144
 SHORTEST_S = 0.001
-CONNECT_S = 1.0
-IDLE_S = 30.0
-BODYLESS = frozenset(('GET', 'HEAD', 'OPTIONS', 'TRACE'))
+# A new connection takes one trip; a target that is dark never answers.
+CONNECT_S = 0.35
+# Targets close idle connections after some seconds; they say when.
+IDLE_S = 4.0
 SKIPPED = ('User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type')
+LOAD_PARTS = 3
 
 
 class Progress:
@@ -42,35 +51,40 @@
 class HttpTargets(TargetPort):
     """Keep connections to targets and carry exchanges over them."""
 
-    __slots__ = ('fresh', 'warm')
+    __slots__ = ('fresh', 'names', 'warm')
 
-    def __init__(self) -> None:
-        self.warm = _open_session(
-            aiohttp.TCPConnector(
-                limit=0, use_dns_cache=False, keepalive_timeout=IDLE_S
-            )
-        )
-        self.fresh = _open_session(
-            aiohttp.TCPConnector(limit=0, use_dns_cache=False, force_close=True)
-        )
+    def __init__(self, names: Names) -> None:
+        self.names = names
+        self.warm = _open_session(force_close=False)
+        self.fresh = _open_session(force_close=True)
 
     async def send(
         self,
         target: Target,
         outgoing: Outgoing,
-        body: AsyncIterator[bytes],
+        body: bytes,
         *,
-        timeout_s: float,
-        once: bool = False,
+        team: str | None,
+        left_s: float,
+        once: bool,
     ) -> AsyncGenerator[AnswerHead | AnswerChunk]:
         """Yield the answer; raise TargetError where it fails or is cut."""
         progress = Progress()
-        parts = self._exchange(
-            target, outgoing, body, progress, timeout_s=timeout_s, once=once
-        )
+        headers = self._list_headers(target, outgoing, team, left_s)
+        session = self.fresh if once else self.warm
         try:
-            async for part in parts:
-                yield part
+            async with session.request(
+                outgoing.method,
+                f'http://{target.address}{outgoing.path}',
+                headers=headers,
+                data=body or None,
+                timeout=_limit_time(left_s),
+                allow_redirects=False,
+                trace_request_ctx=progress,
+            ) as response:
+                self._check(response, outgoing)
+                async for part in self._read(response):
+                    yield part
         except TimeoutError as error:
             raise TargetTimeoutError(
                 'no whole answer in time', sent=progress.connected
@@ -79,50 +93,108 @@
             raise TargetError(
                 type(error).__name__, sent=progress.connected
             ) from error
-        finally:
-            await parts.aclose()
 
     async def close(self) -> None:
         """Close all connections."""
         await self.warm.close()
         await self.fresh.close()
 
-    async def _exchange(
+    def _list_headers(
         self,
         target: Target,
         outgoing: Outgoing,
-        body: AsyncIterator[bytes],
-        progress: Progress,
-        *,
-        timeout_s: float,
-        once: bool,
+        team: str | None,
+        left_s: float,
+    ) -> list[tuple[str, str]]:
+        left_ms = max(1, int(left_s * MS_PER_S))
+        headers = [
+            *outgoing.headers,
+            (self.names.budget_ms, str(left_ms)),
+            (self.names.expected_target, target.name),
+        ]
+        if team is not None:
+            headers.append((self.names.team, team))
+        return headers
+
+    def _check(
+        self, response: aiohttp.ClientResponse, outgoing: Outgoing
+    ) -> None:
+        """Raise TargetError unless this answers what was asked."""
+        if response.status == HTTPStatus.MISDIRECTED_REQUEST:
+            raise TargetMovedError('another target has the address')
+        if self.names.not_run in response.headers:
+            raise TargetShedError(f'not run, status {response.status}')
+        if response.headers.get(self.names.request_id) != outgoing.request_id:
+            raise TargetError('answer to another request', sent=True)
+
+    async def _read(
+        self, response: aiohttp.ClientResponse
     ) -> AsyncGenerator[AnswerHead | AnswerChunk]:
-        session = self.fresh if once else self.warm
-        response = await session.request(
-            outgoing.method,
-            f'http://{target.address}{outgoing.path}',
-            headers=outgoing.headers,
-            data=None if outgoing.method in BODYLESS else body,
-            timeout=_limit_time(timeout_s),
-            allow_redirects=False,
-            trace_request_ctx=progress,
+        head = AnswerHead(
+            status=response.status,
+            headers=tuple(keep_headers(response.headers.items(), frozenset())),
+            load=read_load(response.headers.get(self.names.load)),
         )
-        try:
-            _check_head(response, outgoing)
-            yield _read_head(response)
-            async for chunk in response.content.iter_chunked(CHUNK_BYTES):
-                yield AnswerChunk(body=chunk)
-        finally:
-            # Closes the connection unless the whole answer was read.
-            response.close()
+        length = response.content_length
+        if length is None or length <= WHOLE_BYTES:
+            head.body = await _read_whole(response)
+            yield head
+            return
+        yield head
+        async for chunk in response.content.iter_chunked(CHUNK_BYTES):
+            yield AnswerChunk(body=chunk)
+
+
+async def _read_whole(response: aiohttp.ClientResponse) -> bytes:
+    """Return a body; one that ends with a reset is not whole."""
+    ending = _watch_end(response)
+    body = await response.read()
+    if ending is not None and ending.done() and ending.exception():
+        raise aiohttp.ClientPayloadError('reset before the end')
+    return body
+
 
+def _watch_end(
+    response: aiohttp.ClientResponse,
+) -> 'asyncio.Future[None] | None':
+    """Return what tells how the connection of an unframed body ends."""
+    connection = response.connection
+    if _is_framed(response) or connection is None:
+        return None
+    protocol = connection.protocol
+    # An idle protocol counts as false, so compare.
+    return None if protocol is None else protocol.closed
 
-def _open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+
+def _is_framed(response: aiohttp.ClientResponse) -> bool:
+    headers = response.headers
+    return 'Transfer-Encoding' in headers or CONTENT_LENGTH in headers
+
+
+def read_load(text: str | None) -> TargetLoad | None:
+    """Return running, waiting and slots; None for anything else."""
+    parts = (text or '').split(',')
+    if len(parts) != LOAD_PARTS or not all(map(_is_count, parts)):
+        return None
+    running, waiting, slots = map(int, parts)
+    return TargetLoad(running=running, waiting=waiting, slots=slots)
+
+
+def _is_count(text: str) -> bool:
+    return text.isascii() and text.isdecimal()
+
+
+def _open_session(*, force_close: bool) -> aiohttp.ClientSession:
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_end.append(_note_connection)
     trace.on_connection_reuseconn.append(_note_connection)
+    keeping: dict[str, Any] = (
+        {'force_close': True} if force_close else {'keepalive_timeout': IDLE_S}
+    )
     return aiohttp.ClientSession(
-        connector=connector,
+        connector=aiohttp.TCPConnector(
+            limit=0, use_dns_cache=False, socket_factory=open_probed, **keeping
+        ),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         middlewares=(forbid_resend,),
@@ -137,21 +209,6 @@
     context.trace_request_ctx.connected = True
 
 
-def _limit_time(timeout_s: float) -> aiohttp.ClientTimeout:
-    total_s = max(timeout_s, SHORTEST_S)
+def _limit_time(left_s: float) -> aiohttp.ClientTimeout:
+    total_s = max(left_s, SHORTEST_S)
     return aiohttp.ClientTimeout(total=total_s, connect=min(total_s, CONNECT_S))
-
-
-def _check_head(response: aiohttp.ClientResponse, outgoing: Outgoing) -> None:
-    echoed = response.headers.get(REQUEST_ID_HEADER)
-    asked = dict(outgoing.headers).get(REQUEST_ID_HEADER)
-    if echoed is not None and echoed != asked:
-        raise TargetError('answer to another request', sent=True)
-    is_shed = response.headers.get(NOT_RUN_HEADER) == 'true'
-    if is_shed and response.status == HTTPStatus.SERVICE_UNAVAILABLE:
-        raise TargetShedError('shed')
-
-
-def _read_head(response: aiohttp.ClientResponse) -> AnswerHead:
-    kept = keep_headers(response.headers.items(), NOT_FOR_CALLERS)
-    return AnswerHead(status=response.status, headers=tuple(kept))
--- /dev/null
+++ b/tests/test_allowance.py
@@ -0,0 +1,67 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from currantspur.decisions.allowance import Allowance, share_rate
+
+NAMES = ('a', 'b', 'c', 'd')
+
+
+@pytest.mark.parametrize(
+    ('rate', 'demand', 'shares'),
+    [
+        (40, (), (10, 10, 10, 10)),
+        (40, (10, 10, 10, 10), (10, 10, 10, 10)),
+        (40, (20, 0, 0, 0), (25, 5, 5, 5)),
+        (40, (40, 0, 0, 0), (40, 0, 0, 0)),
+        (40, (60, 20, 0, 0), (30, 10, 0, 0)),
+        (40, (80, 80, 80, 80), (10, 10, 10, 10)),
+        (0, (8, 0, 0, 0), (0, 0, 0, 0)),
+    ],
+)
+def test_shares(rate, demand, shares):
+    asked = dict(zip(NAMES, demand, strict=False))
+    assert shares == tuple(
+        share_rate(rate, asked, name, size=len(NAMES)) for name in NAMES
+    )
+
+
+@given(
+    rate=st.floats(0, 1e4),
+    demand=st.lists(st.floats(0, 1e4), min_size=4, max_size=4),
+)
+def test_shares_sum_to_no_more_than_the_rate(rate, demand):
+    asked = dict(zip(NAMES, demand, strict=True))
+    shares = [share_rate(rate, asked, name, size=4) for name in NAMES]
+    assert sum(shares) <= rate * 1.000001
+    if sum(demand) <= rate:
+        assert all(
+            share >= asked[name] - 1e-6
+            for name, share in zip(NAMES, shares, strict=True)
+        )
+
+
+@pytest.mark.parametrize(
+    ('share', 'seconds', 'passed'),
+    [
+        # Half a second of its share at first, then the share.
+        (10, 0, 5),
+        (10, 1, 10),
+        (0.5, 0, 1),
+        # The burst is a tenth of the rate's, as the share is of the rate.
+        (10, 1000, 20),
+        (0, 1000, 1),
+    ],
+)
+def test_a_part_of_the_burst(share, seconds, passed):
+    allowance = Allowance(rate=100, burst=200, share=share, at=0)
+    if seconds == 1:
+        assert not any(allowance.spend(0) for _ in range(5))
+    spent = [allowance.spend(seconds) for _ in range(100)]
+    assert spent.count(None) == passed
+
+
+def test_a_refusal_says_when_to_come_back():
+    allowance = Allowance(rate=100, burst=200, share=10, at=0)
+    waits = [allowance.spend(0) for _ in range(6)]
+    assert waits[5] == pytest.approx(0.1)
--- /dev/null
+++ b/tests/test_departure.py
@@ -0,0 +1,54 @@
+import asyncio
+
+import aiohttp
+import pytest
+
+from currantspur import departure
+from currantspur.standins.fleet import PREFIX, wait_until
+from tests.fleets import call, first, open_fleet
+
+
+async def test_no_request_is_cut(monkeypatch):
+    monkeypatch.setattr(departure, 'LINGER_S', 0.5)
+    async with open_fleet(targets=()) as (fleet, session):
+        await fleet.open_target('slow', 'north-1', work_s=0.3)
+        daemon = first(fleet.daemons)
+        await wait_until(daemon.is_ready)
+        running = asyncio.create_task(call(session, daemon))
+        await asyncio.sleep(0.05)
+        leaving = asyncio.create_task(daemon.leave())
+        await asyncio.sleep(0.05)
+        # Callers that still come are served, and told to come no more.
+        status, headers, _ = await call(session, daemon)
+        assert (status, headers['Connection']) == (200, 'close')
+        assert (await running)[0] == 200
+        assert not daemon.is_ready()
+        await leaving
+        with pytest.raises(aiohttp.ClientConnectionError):
+            await call(session, daemon)
+
+
+async def test_a_request_that_comes_last_is_answered(monkeypatch):
+    monkeypatch.setattr(departure, 'LINGER_S', 0.2)
+    async with open_fleet(targets=()) as (fleet, session):
+        await fleet.open_target('slow', 'north-1', work_s=0.4)
+        daemon = first(fleet.daemons)
+        await wait_until(daemon.is_ready)
+        leaving = asyncio.create_task(daemon.leave())
+        await asyncio.sleep(0.15)
+        status, _, _ = await call(session, daemon, f'{PREFIX}2')
+        assert status == 200
+        await leaving
+
+
+async def test_peers_stop_naming_it():
+    zones = ('north-1', 'north-1')
+    async with open_fleet(zones=zones) as (fleet, _):
+        first_daemon, second = fleet.daemons.values()
+        await wait_until(lambda: len(second.membership.shown) == 2)
+        leaving = asyncio.create_task(first_daemon.leave())
+        await wait_until(lambda: len(second.membership.shown) == 1)
+        await wait_until(
+            lambda: ('instances', 'entry-0') not in fleet.store.rows
+        )
+        leaving.cancel()
--- /dev/null
+++ b/tests/test_liveness.py
@@ -0,0 +1,113 @@
+import pytest
+
+from currantspur.decisions.entries import choose_entries
+from currantspur.decisions.liveness import FORGOTTEN_S, SILENT_S, Liveness
+from currantspur.messages import FleetView, Instance, LookupQuery, Pulse
+
+
+def make_instance(name: str, zone: str = 'n1', region: str = 'n') -> Instance:
+    return Instance(
+        name=name,
+        availability_zone=zone,
+        region=region,
+        address=f'{name}:1',
+        peer=f'{name}:2',
+    )
+
+
+def make_pulse(name: str, number: int, life: int = 1, **more) -> Pulse:
+    return Pulse(instance=make_instance(name), life=life, number=number, **more)
+
+
+OWN = make_pulse('own', 0)
+
+
+@pytest.mark.parametrize(
+    ('pulses', 'at', 'live', 'size'),
+    [
+        ([], 0, {'own'}, 1),
+        ([(0, make_pulse('b', 1))], SILENT_S, {'own', 'b'}, 2),
+        # Silent: no callers any more, but its part of the limits stays.
+        ([(0, make_pulse('b', 1))], SILENT_S + 0.1, {'own'}, 2),
+        ([(0, make_pulse('b', 1))], FORGOTTEN_S + 0.1, {'own'}, 1),
+        ([(0, make_pulse('b', 1, is_leaving=True))], 1, {'own'}, 2),
+        ([(0, make_pulse('b', 1, is_leaving=True))], 4, {'own'}, 1),
+        # A pulse that comes late changes nothing.
+        (
+            [(0, make_pulse('b', 2, is_leaving=True)), (1, make_pulse('b', 1))],
+            1,
+            {'own'},
+            2,
+        ),
+        # A new life begins to count anew.
+        (
+            [
+                (0, make_pulse('b', 9, is_leaving=True)),
+                (1, make_pulse('b', 1, life=2)),
+            ],
+            1,
+            {'own', 'b'},
+            2,
+        ),
+        # The last pulse of the life before comes after the new one.
+        (
+            [
+                (0, make_pulse('b', 8)),
+                (1, make_pulse('b', 1, life=2)),
+                (1, make_pulse('b', 9, is_leaving=True)),
+            ],
+            1,
+            {'own', 'b'},
+            2,
+        ),
+        ([(0, make_pulse('own', 7))], 1, {'own'}, 1),
+    ],
+)
+def test_who_lives(pulses, at, live, size):
+    liveness = Liveness(make_pulse('own', 0))
+    for heard_at, pulse in pulses:
+        liveness.note(pulse, heard_at)
+    view = liveness.view(at)
+    assert {one.name for one in view.live} == live
+    assert view.size == size
+
+
+def test_a_leaving_instance_names_itself_no_more():
+    liveness = Liveness(make_pulse('own', 0, is_leaving=True))
+    liveness.note(make_pulse('b', 1), 0)
+    assert [one.name for one in liveness.view(0).live] == ['b']
+
+
+def test_pulses_go_to_all_known_but_oneself():
+    liveness = Liveness(make_pulse('own', 0))
+    liveness.note(make_pulse('b', 1), 0)
+    known = [make_instance('own'), make_instance('c'), make_instance('b')]
+    names = sorted(peer.name for peer in liveness.list_peers(known))
+    assert names == ['b', 'c']
+
+
+LIVE = (
+    make_instance('a', 'n1', 'n'),
+    make_instance('b', 'n1', 'n'),
+    make_instance('c', 'n2', 'n'),
+    make_instance('d', 's1', 's'),
+)
+
+
+@pytest.mark.parametrize(
+    ('live', 'zone', 'region', 'named'),
+    [
+        (LIVE, 'n1', 'n', ['a', 'b']),
+        (LIVE, 'n2', 'n', ['c']),
+        (LIVE, 'n3', 'n', ['a', 'b', 'c']),
+        (LIVE, 's2', 's', ['d']),
+        (LIVE, 'x1', 'x', ['a', 'b', 'c', 'd']),
+        (LIVE[2:], 'n1', 'n', ['c']),
+        ((), 'n1', 'n', []),
+    ],
+)
+def test_the_nearest_are_named(live, zone, region, named):
+    view = FleetView(live=live, size=4, demand={}, at=0.0)
+    query = LookupQuery(region=region, availability_zone=zone)
+    answer = choose_entries(view, query)
+    assert [entry.name for entry in answer.entries] == named
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,66 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from currantspur.messages import Instance, Pulse
+from currantspur.wire.peers import (
+    DATAGRAM_BYTES,
+    JsonInstances,
+    decode_pulse,
+    encode_pulse,
+)
+
+INSTANCE = Instance(
+    name='entry-1',
+    availability_zone='n1',
+    region='n',
+    address='10.0.0.1:1',
+    peer='10.0.0.1:2',
+)
+
+
+@pytest.mark.parametrize(
+    'pulse',
+    [
+        Pulse(instance=INSTANCE, life=1, number=2),
+        Pulse(instance=INSTANCE, life=2**53 - 1, number=2, is_leaving=True),
+        Pulse(
+            instance=INSTANCE,
+            life=1,
+            number=2,
+            demand={'one': 2.5},
+            revisions={'op': 7},
+        ),
+    ],
+)
+def test_a_pulse_arrives_as_it_was_sent(pulse):
+    assert decode_pulse(encode_pulse(pulse)) == pulse
+
+
+def test_a_datagram_is_never_cut_in_pieces():
+    demand = {f'team-{number}': 1.0 + number for number in range(500)}
+    pulse = Pulse(instance=INSTANCE, life=1, number=2, demand=demand)
+    datagram = encode_pulse(pulse)
+    assert len(datagram) <= DATAGRAM_BYTES
+    kept = decode_pulse(datagram).demand
+    assert 'team-499' in kept
+    assert 'team-0' not in kept
+
+
+@given(st.binary(max_size=200))
+def test_other_bytes_are_no_pulse(datagram):
+    assert decode_pulse(datagram) is None
+    assert JsonInstances().decode(datagram) is None
+
+
+@pytest.mark.parametrize(
+    'encoded', [b'null', b'{}', b'[]', b'{"name": "x"}', b'7']
+)
+def test_other_json_is_no_entry(encoded):
+    assert JsonInstances().decode(encoded) is None
+    assert decode_pulse(encoded) is None
+
+
+def test_an_entry():
+    codec = JsonInstances()
+    assert codec.decode(codec.encode(INSTANCE)) == INSTANCE
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,186 @@
+from collections import Counter
+
+import pytest
+
+from currantspur.decisions.nearness import Nearness
+from currantspur.decisions.target_state import TargetState
+from currantspur.messages import Part, Route, Target, TargetLoad, TargetRequest
+from currantspur.pipelines.placement import (
+    PlacementState,
+    list_eligible,
+    place,
+)
+
+SIX = ('n1', 'n1', 'n1', 'n1', 'n1', 'n1')
+REGIONS = {'n1': 'n', 'n2': 'n', 's1': 's'}
+ROUTE = Route(
+    name='r',
+    host='h',
+    prefix='/',
+    parts=(Part(service='s', weight=1),),
+    is_idempotent=True,
+    timeout_s=2.0,
+    goal_s=0.3,
+    tries=2,
+)
+
+
+def make_state(*zones: str, at: float = 0.0, **more) -> PlacementState:
+    state = PlacementState(Nearness(availability_zone='n1', regions=REGIONS))
+    state.by_service = {
+        's': [
+            TargetState(
+                Target(
+                    name=f't{number}',
+                    service='s',
+                    address=f'10.0.0.1:{number}',
+                    availability_zone=zone,
+                    slots=3,
+                    **more,
+                ),
+                at,
+            )
+            for number, zone in enumerate(zones)
+        ]
+    }
+    return state
+
+
+def ask(**more) -> TargetRequest:
+    return TargetRequest(
+        **{
+            'request_id': 'x',
+            'route': ROUTE,
+            'service': 's',
+            'deadline': 9.0,
+            'object_key': '17',
+            **more,
+        }
+    )
+
+
+@pytest.mark.parametrize(
+    ('zones', 'more', 'evacuated', 'named'),
+    [
+        (('n1', 's1'), {}, (), ['t0', 't1']),
+        (('n1', 's1'), {'service': 'none'}, (), []),
+        (('n1', 's1'), {'without': frozenset(('t0',))}, (), ['t1']),
+        (('n1', 's1'), {'home_regions': frozenset(('s',))}, (), ['t1']),
+        (('n1', 's1'), {'home_regions': frozenset(('',))}, (), []),
+        (('n1', 'n2'), {}, ('n1',), ['t1']),
+        (('n1',), {}, ('n1',), []),
+    ],
+)
+def test_who_may_run_it(zones, more, evacuated, named):
+    state = make_state(*zones)
+    state.evacuated = frozenset(evacuated)
+    found = [one.target.name for one in list_eligible(ask(**more), state)]
+    assert found == named
+
+
+def test_leaving_targets_get_nothing():
+    assert place(ask(), make_state('n1', is_leaving=True), 1.0) is None
+
+
+def make_busy(state: TargetState, own: int, others: int, at: float) -> None:
+    state.own = own
+    state.report(TargetLoad(running=3, waiting=others, slots=3), at)
+
+
+@pytest.mark.parametrize(
+    ('zones', 'busy', 'warm', 'chosen'),
+    [
+        # The own zone first, then the region, then elsewhere.
+        (('n1', 'n2', 's1'), {}, (), 't0'),
+        (('n2', 's1'), {}, (), 't0'),
+        # A target that knows the object is worth a way.
+        (('n1', 'n2'), {}, (1,), 't1'),
+        (('n1', 's1'), {}, (1,), 't1'),
+        # Its queue counts against it.
+        (('n1', 'n1'), {0: 9}, (0, 1), 't1'),
+        (('n1', 's1'), {0: 11}, (0, 1), 't1'),
+    ],
+)
+def test_the_cheapest_is_chosen(zones, busy, warm, chosen):
+    state = make_state(*zones)
+    states = state.by_service['s']
+    for number in warm:
+        states[number].succeed(1.0, '17')
+    for number, own in busy.items():
+        states[number].own = own
+    request = ask(object_key='17' if warm else None)
+    assert place(request, state, 1.0).state.target.name == chosen
+
+
+def test_full_targets_get_nothing():
+    state = make_state('n1')
+    state.by_service['s'][0].own = 12
+    assert place(ask(), state, 1.0) is None
+
+
+def test_instances_agree_on_who_knows_an_object():
+    first, second = make_state(*SIX), make_state(*SIX)
+    chosen = Counter()
+    for key in map(str, range(60)):
+        request = ask(object_key=key)
+        ours = place(request, first, 1.0).state.target.name
+        assert ours == place(request, second, 1.0).state.target.name
+        chosen[ours] += 1
+    assert len(chosen) == 6
+    assert max(chosen.values()) <= 20
+
+
+@pytest.mark.parametrize(
+    ('size', 'requests', 'passed'),
+    [(1, 9, 1), (8, 9, 1)],
+)
+def test_a_cold_target_is_paced(size, requests, passed):
+    state = make_state('n1', cold_s=3.0)
+    state.cold_rates = {'s': 5.5}
+    state.size = size
+    target = state.by_service['s'][0]
+    given = 0
+    for _ in range(requests):
+        if place(ask(), state, 1.0) is not None:
+            target.pacer.spend(1.0)
+            given += 1
+    assert given == passed
+    assert place(ask(), state, 3.5) is not None
+
+
+@pytest.mark.parametrize(
+    ('hurt', 'chosen'),
+    [
+        (lambda one: one.fail(1.0), 't1'),
+        (lambda one: [one.fail(1.0) for _ in range(9)], 't1'),
+        (lambda one: one.measure(9.0, 1.0), 't1'),
+        (lambda one: one.overflow(1.0), 't1'),
+        (lambda one: None, 't0'),
+    ],
+)
+def test_trouble_is_avoided_and_forgiven(hurt, chosen):
+    state = make_state('n1', 'n1')
+    for one in state.by_service['s']:
+        one.succeed(0.5, '17')
+    first = place(ask(), state, 1.0).state
+    hurt(first)
+    after = place(ask(), state, 1.0).state
+    assert (after is first) is (chosen == 't0')
+    assert place(ask(), state, 60.0).state is first
+
+
+@pytest.mark.parametrize(('born_ms', 'is_warm'), [(1, True), (2, False)])
+def test_a_restarted_target_knows_nothing(born_ms, is_warm):
+    state = make_state('n1', born_ms=1)
+    target = state.by_service['s'][0]
+    target.succeed(0.0, '17')
+    again = Target(
+        name='t0',
+        service='s',
+        address='10.0.0.1:0',
+        availability_zone='n1',
+        slots=3,
+        born_ms=born_ms,
+    )
+    target.learn(again, 1.0)
+    assert place(ask(), state, 1.0).is_warm is is_warm
--- /dev/null
+++ b/tests/test_splitting.py
@@ -0,0 +1,51 @@
+from collections import Counter
+
+import pytest
+
+from currantspur.decisions.splitting import Splitter
+from currantspur.messages import Part, Route
+
+
+def make_route(**weights: float) -> Route:
+    return Route(
+        name='split',
+        host='h',
+        prefix='/',
+        parts=tuple(
+            Part(service=name, weight=weight)
+            for name, weight in weights.items()
+        ),
+        is_idempotent=True,
+        timeout_s=1.0,
+        goal_s=0.1,
+        tries=1,
+    )
+
+
+@pytest.mark.parametrize(
+    ('weights', 'requests', 'most_off'),
+    [
+        ({'a': 1}, 7, 0),
+        ({'a': 90, 'b': 10}, 10, 0),
+        ({'a': 90, 'b': 10}, 25, 1),
+        ({'a': 1, 'b': 1, 'c': 1}, 10, 1),
+        ({'a': 70, 'b': 0, 'c': 30}, 50, 0),
+        ({'a': 0.5, 'b': 0.25, 'c': 0.25}, 40, 0),
+        ({'a': 0, 'b': 1}, 9, 0),
+    ],
+)
+def test_each_part_has_its_share(weights, requests, most_off):
+    splitter = Splitter()
+    route = make_route(**weights)
+    counts = Counter(splitter.pick(route) for _ in range(requests))
+    total = sum(weights.values())
+    for name, weight in weights.items():
+        assert abs(counts[name] - requests * weight / total) <= most_off
+
+
+def test_new_weights_hold_at_once():
+    splitter = Splitter()
+    for _ in range(11):
+        splitter.pick(make_route(a=90, b=10))
+    counts = Counter(splitter.pick(make_route(a=0, b=1)) for _ in range(9))
+    assert counts == {'b': 9}
