--- a/tests/test_task.py
+++ b/tests/test_task.py
@@ -1,37 +1,40 @@
 import asyncio
-from contextlib import AsyncExitStack
 
 import pytest
 
 from currantspur.errors import TaskFailedError
-from currantspur.messages import Question
-from currantspur.standins.fleet import Fleet
+from currantspur.messages import LookupQuery
 from currantspur.tasks import Task
+from tests.fleets import first, open_fleet
 
 
 class Fragile(Task):
     def receive(self, letters):
         for letter in letters:
-            if letter.message.team == 'bad':
+            if letter.message.region == 'bad':
                 raise ZeroDivisionError
-            letter.answer(letter.message.team)
+            letter.answer(letter.message.region)
 
 
 @pytest.mark.parametrize(
-    ('teams', 'heard'),
+    ('words', 'heard'),
     [
         (['good'], ['good']),
         (['bad', 'good'], [TaskFailedError, 'good']),
         (['bad', 'bad', 'good'], [TaskFailedError, TaskFailedError, 'good']),
     ],
 )
-async def test_a_failure_ends_only_its_batch(teams, heard):
+async def test_a_failure_ends_only_its_batch(words, heard):
     task = Fragile()
     job = asyncio.create_task(task.run())
     found = []
-    for team in teams:
+    for word in words:
         try:
-            found.append(await task.mailbox.ask(Question(team=team)))
+            found.append(
+                await task.mailbox.ask(
+                    LookupQuery(region=word, availability_zone='')
+                )
+            )
         except TaskFailedError as error:
             found.append(type(error))
     job.cancel()
@@ -41,8 +44,10 @@
 async def test_the_rest_of_a_failed_batch_does_not_hang():
     task = Fragile()
     asked = [
-        asyncio.create_task(task.mailbox.ask(Question(team=team)))
-        for team in ('good', 'bad', 'late')
+        asyncio.create_task(
+            task.mailbox.ask(LookupQuery(region=word, availability_zone=''))
+        )
+        for word in ('good', 'bad', 'late')
     ]
     await asyncio.sleep(0)
     job = asyncio.create_task(task.run())
@@ -57,10 +62,8 @@
 
 
 async def test_a_daemon_notes_that_a_task_ended():
-    async with AsyncExitStack() as stack:
-        fleet = Fleet(stack)
-        await fleet.open_daemons(('north-1',))
-        daemon = fleet.daemons[0]
+    async with open_fleet() as (fleet, _):
+        daemon = first(fleet.daemons)
         assert not daemon.jobs.failure.done()
         daemon.jobs.start(fail())
         error = await asyncio.wait_for(daemon.jobs.failure, 5)
