Teach only targets that joined others

Change: only a target that came after others of its service had worked, in the own region, with a free slot, is given a first object; versions in force are noted with the rates that they change.

--- a/src/currantspur/decisions/placement.py
+++ b/src/currantspur/decisions/placement.py
@@ -1,7 +1,7 @@
 """Choose the target that answers a request soonest at the least cost."""
 
 from currantspur.decisions.affinity import weigh
-from currantspur.decisions.nearness import Nearness
+from currantspur.decisions.nearness import REGION_TRIP_S, Nearness
 from currantspur.decisions.target_state import TargetState
 from currantspur.decisions.work import WorkTimes
 from currantspur.messages import TargetRequest
@@ -80,9 +80,9 @@
         candidate.expected_s = trip_s + wait_s + work_s
         learning_s = 0.0
         if not candidate.is_warm:
-            is_due = rank == 0 and candidate.is_free
-            if is_due and state.may_be_taught(at):
-                # Its turn to learn: as if it knew the object.
+            is_near = trip_s < REGION_TRIP_S
+            if is_near and candidate.is_free and state.is_untaught(at):
+                # It joined and knows nothing: as if it knew the object.
                 learning_s = times.warm_s * slowness - work_s
             else:
                 learning_s = work_s * LEARNING_PRICE
--- a/src/currantspur/decisions/target_state.py
+++ b/src/currantspur/decisions/target_state.py
@@ -9,8 +9,7 @@
 OTHERS_HALF_S = 1.0
 # A failing or slow target is tried again after a few of these.
 TROUBLE_HALF_S = 3.0
-# An object moves to a target that joined at most this often: the first
-# request of each takes about three times as long.
+# A target that joined is given its first requests this far apart.
 TEACH_S = 1.0
 PACE_GAIN = 0.3
 SLOWEST_PACE = 20.0
@@ -27,6 +26,7 @@
         'cold_until',
         'failures',
         'failures_at',
+        'has_joined',
         'others',
         'others_at',
         'own',
@@ -38,8 +38,12 @@
         'warm',
     )
 
-    def __init__(self, target: Target, at: float) -> None:
+    def __init__(
+        self, target: Target, at: float, *, has_joined: bool = False
+    ) -> None:
+        """Take whether others of its service worked before it came."""
         self.target = target
+        self.has_joined = has_joined
         self.own = 0
         self.others = 0.0
         self.others_at = at
@@ -64,9 +68,10 @@
         """Take it for cold for some seconds."""
         self.cold_until = max(self.cold_until, at + seconds)
 
-    def may_be_taught(self, at: float) -> bool:
-        """Tell whether it may learn an object that others know already."""
-        return at - self.taught_at >= TEACH_S
+    def is_untaught(self, at: float) -> bool:
+        """Tell whether it joined others and was given nothing lately."""
+        is_due = at - self.taught_at >= TEACH_S
+        return self.has_joined and is_due and not self.warm
 
     def is_cold(self, at: float) -> bool:
         """Tell whether it bears few requests only."""
--- a/src/currantspur/tasks/admission.py
+++ b/src/currantspur/tasks/admission.py
@@ -1,6 +1,6 @@
 """Own the admission state: routes, keys and parts of the teams' rates."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from currantspur.decisions.allowance import Allowance, share_rate
 from currantspur.decisions.identity import KeyRing
@@ -89,6 +89,7 @@
             before=self.state.version,
             revision=seen.revision,
             age_s=round(self.clock.now() - seen.at, 3),
+            rates=dict(_list_new_rates(self.configuration, configuration)),
         )
         self.configuration = configuration
         self.state.version = configuration.version
@@ -134,3 +135,12 @@
             self.demand[team] = known + DEMAND_GAIN * (rate - known)
         self.state.asked.clear()
         return TeamDemand(by_team=dict(self.demand))
+
+
+def _list_new_rates(
+    before: Configuration, after: Configuration
+) -> Iterator[tuple[str, tuple[float, float]]]:
+    known = {team.name: (team.rate, team.burst) for team in before.teams}
+    for team in after.teams:
+        if known.get(team.name) != (team.rate, team.burst):
+            yield team.name, (team.rate, team.burst)
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -234,7 +234,13 @@
         if state is not None:
             state.learn(target, now)
             return False
-        self.states[target.name] = TargetState(target, now)
+        has_joined = any(
+            other.target.service == target.service and other.warm
+            for other in self.states.values()
+        )
+        self.states[target.name] = TargetState(
+            target, now, has_joined=has_joined
+        )
         return True
 
     def _resize(self, view: FleetView) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -114,19 +114,33 @@
     assert place(request, state, 1.0).state.target.name == chosen
 
 
-def test_a_target_that_joined_is_taught():
-    state = make_state(*SIX)
-    request = ask()
-    target = place(request, state, 1.0).state
-    for one in state.by_service['s']:
-        if one is not target:
-            one.succeed(0.5, '17')
-    assert place(request, state, 1.0).state is target
-    target.taught_at = 1.0
-    assert place(request, state, 1.5).state is not target
-    assert place(request, state, 2.0).state is target
-    target.own = 3
-    assert place(request, state, 2.0).state is not target
+@pytest.mark.parametrize(
+    ('zone', 'has_joined', 'own', 'given_s', 'is_chosen'),
+    [
+        ('n1', True, 0, None, True),
+        ('n2', True, 0, None, True),
+        # Not across regions, not while it is busy, not too often.
+        ('s1', True, 0, None, False),
+        ('n1', True, 3, None, False),
+        ('n1', True, 0, 0.5, False),
+        ('n1', True, 0, 2.0, True),
+        # Where all began together, objects stay with the first in order.
+        ('n1', False, 0, None, False),
+    ],
+)
+def test_a_target_that_joined_is_taught(
+    zone, has_joined, own, given_s, is_chosen
+):
+    state = make_state('n1', zone)
+    known, joined = state.by_service['s']
+    known.succeed(0.5, '17')
+    joined.has_joined = has_joined
+    joined.own = own
+    if given_s is not None:
+        joined.taught_at = 1.0 - given_s
+    assert (place(ask(), state, 1.0).state is joined) is is_chosen
+    joined.succeed(1.0, 'another')
+    assert place(ask(), state, 9.0).state is known
 
 
 def test_full_targets_get_nothing():
