Explain a request from logs, and demonstrate the whole path

Cause: nothing read the lines that instances write, and make demo was gone with the old path. Change: currantspur explain REQUEST FILE... prints each step with what the instance believed and for how long, also from lines with a prefix; currantspur demo runs a store, four targets and two instances on loopback and checks eight expectations. Before: no command.

--- a/src/currantspur/cli/__init__.py
+++ b/src/currantspur/cli/__init__.py
@@ -1,6 +1,6 @@
 """Offer the command line: one module for each group of commands."""
 
-from currantspur.cli import checking, daemons
+from currantspur.cli import checking, daemons, demonstrating, explaining
 from currantspur.cli.application import app, main
 
-__all__ = ('app', 'checking', 'daemons', 'main')
+__all__ = ('app', 'checking', 'daemons', 'demonstrating', 'explaining', 'main')
--- a/src/currantspur/standins/fleet.py
+++ b/src/currantspur/standins/fleet.py
@@ -88,6 +88,7 @@
         return all(
             daemon.admission.state.version == self.version
             and len(daemon.dispatcher.states) == len(self.targets)
+            and len(daemon.membership.shown) == len(self.daemons)
             for daemon in self.daemons.values()
         )
 
--- a/src/currantspur/tasks/admission.py
+++ b/src/currantspur/tasks/admission.py
@@ -24,6 +24,7 @@
 # Demand follows its newest measure by half, twice a second.
 DEMAND_GAIN = 0.5
 SHORTEST_S = 0.001
+RateAndBurst = tuple[float, float]
 
 
 class AdmissionTask(Task):
@@ -139,7 +140,7 @@
 
 def _list_new_rates(
     before: Configuration, after: Configuration
-) -> Iterator[tuple[str, tuple[float, float]]]:
+) -> Iterator[tuple[str, RateAndBurst]]:
     known = {team.name: (team.rate, team.burst) for team in before.teams}
     for team in after.teams:
         if known.get(team.name) != (team.rate, team.burst):
--- /dev/null
+++ b/tests/test_explanation.py
@@ -0,0 +1,70 @@
+import orjson
+import pytest
+
+from currantspur.cli.explaining import parse_lines
+from currantspur.decisions.explanation import explain, print_step
+
+
+def make_line(at, instance, kind, **more):
+    return {
+        'at': at,
+        'now': at + 100,
+        'instance': instance,
+        'kind': kind,
+        **more,
+    }
+
+
+LINES = [
+    make_line(3.0, 'a', 'refused', request='r-1', code='no_room'),
+    make_line(1.0, 'a', 'version_in_force', version=4),
+    make_line(2.0, 'a', 'version_in_force', version=5),
+    make_line(2.5, 'b', 'version_in_force', version=4),
+    make_line(2.6, 'a', 'exchange', request='r-1', outcome='shed'),
+    make_line(3.1, 'a', 'targets', known=7),
+    make_line(3.2, 'b', 'exchange', request='r-2', outcome='answered'),
+    make_line(3.3, 'b', 'exchange', request='r-1', outcome='answered'),
+]
+
+
+@pytest.mark.parametrize(
+    ('request_id', 'steps'),
+    [
+        (
+            'r-1',
+            [('a', 'exchange', 5), ('a', 'refused', 5), ('b', 'exchange', 4)],
+        ),
+        ('r-2', [('b', 'exchange', 4)]),
+        ('r-3', []),
+    ],
+)
+def test_steps_in_order_with_what_was_believed(request_id, steps):
+    found = [
+        (step.line['instance'], step.line['kind'], step.beliefs[0]['version'])
+        for step in explain(LINES, request_id)
+    ]
+    assert found == steps
+
+
+def test_the_age_of_a_belief_is_printed():
+    step = next(iter(explain(LINES, 'r-1')))
+    printed = list(print_step(step))
+    assert printed == [
+        '2.600 a exchange: outcome=shed',
+        '    believed for 0.600 s: version_in_force: version=5',
+    ]
+
+
+@pytest.mark.parametrize(
+    ('line', 'is_read'),
+    [
+        (orjson.dumps(LINES[0]), True),
+        (b'  -9.5 edge-1 %b\n' % orjson.dumps(LINES[0]), True),
+        (b'{"kind": "ERROR", "text": "x"}', False),
+        (b'no line at all', False),
+        (b'{', False),
+        (b'', False),
+    ],
+)
+def test_lines(line, is_read):
+    assert bool(list(parse_lines([line]))) is is_read
