Read tables through few instances of a large fleet, or through peers in need

Change: a feed reads from sources in order. Up to 12 instances each ask the store first and then two near peers; in a larger fleet two relays a region ask it and the others follow them, the store last. A desk keeps at which revision each row changed and answers peers at once or on the next change; answers carry when an outage ended. Pulses say whether an instance is ready; look-ups name only those. Lapsed entries end by themselves, not with the next request. Before: the new tests fail (an instance with an unreachable store never becomes ready).

--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -4,10 +4,11 @@
 from random import Random
 
 from currantspur.decisions.nearness import Nearness
+from currantspur.decisions.relays import order_sources
 from currantspur.departure import Departure
 from currantspur.errors import ListenError
 from currantspur.jobs import Jobs
-from currantspur.messages import Instance
+from currantspur.messages import FleetView, Instance
 from currantspur.platform import (
     PLATFORM_NAMES,
     OperatorRows,
@@ -26,6 +27,8 @@
     LineSink,
     Membership,
     Registrar,
+    RelayDesk,
+    Sources,
     SystemClock,
     Task,
 )
@@ -33,6 +36,7 @@
 from currantspur.wire.listener import Listener
 from currantspur.wire.metrics import Metrics
 from currantspur.wire.peers import JsonInstances, open_datagrams
+from currantspur.wire.relays import HttpRelays, RelayListener
 from currantspur.wire.server import Handler, Server, open_server
 from currantspur.wire.targets import HttpTargets
 
@@ -45,6 +49,7 @@
     __slots__ = (
         'admission',
         'clock',
+        'desk',
         'dispatcher',
         'feeds',
         'jobs',
@@ -74,7 +79,12 @@
         self.random = random or Random()
         self.metrics = metrics or Metrics()
         self.journal = Journal(sink=sink, clock=self.clock)
-        self.store = PlatformStore(settings.store, self.metrics)
+        self.store = Sources(
+            store=PlatformStore(settings.store, self.metrics),
+            relays=HttpRelays(),
+            clock=self.clock,
+        )
+        self.desk = RelayDesk(clock=self.clock)
         self.targets = HttpTargets(PLATFORM_NAMES)
         self.admission = AdmissionTask(
             clock=self.clock, instance=settings.instance, journal=self.journal
@@ -162,6 +172,7 @@
             (directory.answer, settings.directory),
             (directory.answer, settings.ready),
             (self.metrics.show, settings.metrics),
+            (RelayListener(self.desk.mailbox).answer, settings.peer),
         )
         for handler, address in served:
             self.servers.append(await open_server(handler, address))
@@ -185,6 +196,7 @@
         yield self.admission
         yield self.dispatcher
         yield self.membership
+        yield self.desk
 
     def _open_feeds(self) -> dict[str, Feed]:
         admission, dispatcher = self.admission.mailbox, self.dispatcher.mailbox
@@ -194,6 +206,7 @@
                 store=self.store,
                 decoder=OperatorRows(),
                 readers=(admission, dispatcher),
+                relay=self.desk.mailbox,
                 clock=self.clock,
                 journal=self.journal,
                 random=self.random,
@@ -203,6 +216,7 @@
                 store=self.store,
                 decoder=TargetRows(),
                 readers=(dispatcher,),
+                relay=self.desk.mailbox,
                 clock=self.clock,
                 journal=self.journal,
                 random=self.random,
@@ -226,6 +240,8 @@
             readers=(self.admission.mailbox, self.dispatcher.mailbox),
             revisions=self._tell_revisions,
             tell_revisions=self._hear_revisions,
+            is_ready=self.is_ready,
+            order_sources=self._order_sources,
         )
 
     def _open_carrier(self) -> Carrier:
@@ -240,6 +256,10 @@
     def _tell_revisions(self) -> Mapping[str, int]:
         return {table: feed.changed for table, feed in self.feeds.items()}
 
+    def _order_sources(self, view: FleetView) -> None:
+        own = self.membership.liveness.own.instance
+        self.store.order = order_sources(view, own)
+
     def _hear_revisions(self, revisions: Mapping[str, int], at: float) -> None:
         for table, feed in self.feeds.items():
             feed.compare(revisions.get(table, -1), at)
--- a/src/currantspur/decisions/liveness.py
+++ b/src/currantspur/decisions/liveness.py
@@ -55,7 +55,7 @@
         if pulse.life != known.pulse.life:
             former = known.pulse.life
         self.sights[name] = Sight(pulse, at, former_life=former)
-        return known.pulse.is_leaving != pulse.is_leaving
+        return _takes_callers(known.pulse) != _takes_callers(pulse)
 
     def list_peers(self, known: Iterable[Instance]) -> list[Instance]:
         """Return everyone to whom pulses go."""
@@ -68,7 +68,7 @@
     def view(self, at: float) -> FleetView:
         """Return who takes callers and what is asked of everyone."""
         self._forget(at)
-        live = [] if self.own.is_leaving else [self.own.instance]
+        live = [self.own.instance] if _takes_callers(self.own) else []
         demand: dict[str, Mapping[str, float]] = {
             self.own.instance.name: self.own.demand
         }
@@ -76,7 +76,7 @@
             if sight.pulse.is_leaving and at - sight.at > SILENT_S:
                 continue
             demand[name] = sight.pulse.demand
-            if not sight.pulse.is_leaving and at - sight.at <= SILENT_S:
+            if _takes_callers(sight.pulse) and at - sight.at <= SILENT_S:
                 live.append(sight.pulse.instance)
         return FleetView(
             live=tuple(live), size=len(demand), demand=demand, at=at
@@ -90,3 +90,7 @@
         ]
         for name in gone:
             self.sights.pop(name)
+
+
+def _takes_callers(pulse: Pulse) -> bool:
+    return pulse.is_ready and not pulse.is_leaving
--- /dev/null
+++ b/src/currantspur/decisions/relays.py
@@ -0,0 +1,37 @@
+"""Choose whom an instance reads tables from."""
+
+from collections.abc import Iterable
+
+from currantspur.decisions.affinity import weigh
+from currantspur.messages import FleetView, Instance
+
+STORE = ''
+# Up to this many instances each read the store themselves: a call is cheap
+# and a relay would only add a step.
+DIRECT_SIZE = 12
+RELAYS_PER_REGION = 2
+# Peers that are asked where the store does not answer.
+FALLBACKS = 2
+
+
+def order_sources(view: FleetView, own: Instance) -> tuple[str, ...]:
+    """Return addresses of peers and the store, first choice first."""
+    near = [one for one in view.live if one.region == own.region]
+    ranked = _rank(near, own.region)
+    if len(view.live) <= DIRECT_SIZE or not ranked:
+        return STORE, *_list_peers(_rank(near, own.name) or view.live, own)
+    relays = ranked[:RELAYS_PER_REGION]
+    if own.name in {relay.name for relay in relays}:
+        return STORE, *_list_peers(relays, own)
+    return *_list_peers(_rank(relays, own.name), own), STORE
+
+
+def _rank(instances: Iterable[Instance], key: str) -> list[Instance]:
+    return sorted(instances, key=lambda one: weigh(key, one.name), reverse=True)
+
+
+def _list_peers(
+    instances: Iterable[Instance], own: Instance
+) -> tuple[str, ...]:
+    peers = [one.peer for one in instances if one.name != own.name]
+    return tuple(peers[:FALLBACKS])
--- a/src/currantspur/messages/belief.py
+++ b/src/currantspur/messages/belief.py
@@ -12,7 +12,14 @@
 class Rows(Message):
     """Hold all rows of a table as of one revision."""
 
-    __slots__ = ('at', 'by_key', 'outage_ended_at', 'revision', 'table')
+    __slots__ = (
+        'at',
+        'by_key',
+        'changed',
+        'outage_ended_at',
+        'revision',
+        'table',
+    )
 
     def __init__(
         self,
@@ -21,9 +28,11 @@
         by_key: Mapping[str, bytes],
         revision: int,
         at: float,
+        changed: int = -1,
         outage_ended_at: float = NEVER,
     ) -> None:
-        """Take when the rows were read and when an outage last ended."""
+        """Take the newest change, when it was read, and the last outage."""
+        self.changed = changed
         self.table = table
         self.by_key = by_key
         self.revision = revision
@@ -105,6 +114,7 @@
         'demand',
         'instance',
         'is_leaving',
+        'is_ready',
         'life',
         'number',
         'revisions',
@@ -117,10 +127,15 @@
         life: int,
         number: int,
         is_leaving: bool = False,
+        is_ready: bool = True,
         demand: Mapping[str, float] | None = None,
         revisions: Mapping[str, int] | None = None,
     ) -> None:
-        """Take requests a second by team and the revision of each table."""
+        """Take requests a second by team and the revision of each table.
+
+        An instance that is not ready knows too little to serve callers.
+        """
+        self.is_ready = is_ready
         self.instance = instance
         self.life = life
         self.number = number
--- a/src/currantspur/standins/fleet.py
+++ b/src/currantspur/standins/fleet.py
@@ -85,10 +85,12 @@
 
     def is_up_to_date(self) -> bool:
         """Tell whether all instances know the version and the targets."""
+        # An instance without targets is not ready.
+        expected = len(self.daemons) if self.targets else 0
         return all(
             daemon.admission.state.version == self.version
             and len(daemon.dispatcher.states) == len(self.targets)
-            and len(daemon.membership.shown) == len(self.daemons)
+            and len(daemon.membership.shown) == expected
             for daemon in self.daemons.values()
         )
 
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -16,6 +16,8 @@
     TargetPort,
 )
 from currantspur.tasks.registrar import Registrar
+from currantspur.tasks.relay_desk import RelayDesk
+from currantspur.tasks.sources import RelayPort, Sources
 from currantspur.tasks.task import Task
 
 __all__ = (
@@ -33,6 +35,9 @@
     'PulsePort',
     'Reading',
     'Registrar',
+    'RelayDesk',
+    'RelayPort',
+    'Sources',
     'Store',
     'SystemClock',
     'TargetPort',
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -51,6 +51,7 @@
         'lapses',
         'limits',
         'placing',
+        'revision',
         'states',
     )
 
@@ -68,6 +69,7 @@
         self.journal = journal
         self.placing = PlacementState(nearness)
         self.lapses = Lapses()
+        self.revision = -1
         self.states: dict[str, TargetState] = {}
         self.budgets: dict[str, RetryBudget] = {}
         self.configuration = Configuration(version=0)
@@ -101,8 +103,6 @@
         if letter.reply is None or letter.reply.done():
             return
         now = self.clock.now()
-        if self.lapses.lapsed and now > self.lapses.until:
-            self._renew(-1)
         letter.answer(self._assign(request, now))
 
     def _assign(
@@ -206,9 +206,10 @@
 
     def _list_targets(self, seen: TargetsSeen) -> None:
         self.lapses.accept(seen)
-        self._renew(seen.revision)
+        self.revision = seen.revision
+        self._renew()
 
-    def _renew(self, revision: int) -> None:
+    def _renew(self) -> None:
         now = self.clock.now()
         current = self.lapses.current(now)
         gone = set(self.states) - set(current)
@@ -222,7 +223,7 @@
         if gone or any(fresh):
             self.journal.note(
                 'targets',
-                revision=revision,
+                revision=self.revision,
                 known=len(current),
                 new=sum(fresh),
                 gone=sorted(gone),
@@ -247,6 +248,9 @@
         self.placing.size = max(1, view.size)
         for budget in self.budgets.values():
             budget.resize(size=view.size, at=view.at)
+        # Pulses come often enough to notice that a time is over.
+        if self.lapses.lapsed and self.clock.now() > self.lapses.until:
+            self._renew()
 
     def _open_budget(self, service: str) -> RetryBudget:
         budget = self.budgets.get(service)
--- a/src/currantspur/tasks/feed.py
+++ b/src/currantspur/tasks/feed.py
@@ -38,6 +38,7 @@
         'outage_since',
         'random',
         'readers',
+        'relay',
         'revision',
         'rows',
         'seen_elsewhere',
@@ -52,15 +53,20 @@
         store: Store,
         decoder: Filter[Rows, Message],
         readers: Iterable[Mailbox],
+        relay: Mailbox,
         clock: Clock,
         journal: Journal,
         random: Random,
     ) -> None:
-        """Take the filter that turns rows into messages for the readers."""
+        """Take the filter that turns rows into messages for the readers.
+
+        The relay gets the rows as they are, for peers that ask.
+        """
         self.table = table
         self.store = store
         self.decoder = decoder
         self.readers = tuple(readers)
+        self.relay = relay
         self.clock = clock
         self.journal = journal
         self.random = random
@@ -130,6 +136,8 @@
             return None
         reading = self.call.result()
         self._note_return()
+        ended_at = self.clock.now() - reading.outage_ended_s_ago
+        self.outage_ended_at = max(self.outage_ended_at, ended_at)
         return reading
 
     def _replace(self, reading: Reading) -> None:
@@ -159,11 +167,13 @@
     def _tell(self) -> None:
         rows = Rows(
             table=self.table,
-            by_key=self.rows,
+            by_key=dict(self.rows),
             revision=self.revision,
             at=self.clock.now(),
+            changed=self.changed,
             outage_ended_at=self.outage_ended_at,
         )
+        self.relay.post(rows)
         for message in self.decoder.run((rows,)):
             for reader in self.readers:
                 reader.post(message)
--- a/src/currantspur/tasks/membership.py
+++ b/src/currantspur/tasks/membership.py
@@ -36,10 +36,12 @@
         'admission',
         'clock',
         'handlers',
+        'is_ready',
         'journal',
         'known',
         'liveness',
         'number',
+        'order_sources',
         'port',
         'readers',
         'revisions',
@@ -58,6 +60,8 @@
         readers: Iterable[Mailbox],
         revisions: Callable[[], Mapping[str, int]],
         tell_revisions: Callable[[Mapping[str, int], float], None],
+        is_ready: Callable[[], bool],
+        order_sources: Callable[[FleetView], None],
     ) -> None:
         """Take a number that grows with each start of the instance."""
         super().__init__()
@@ -67,6 +71,8 @@
         self.readers = tuple(readers)
         self.revisions = revisions
         self.tell_revisions = tell_revisions
+        self.is_ready = is_ready
+        self.order_sources = order_sources
         self.port: PulsePort | None = None
         self.number = 0
         self.known: tuple[Instance, ...] = ()
@@ -113,11 +119,14 @@
 
     def _tell(self, demand: TeamDemand) -> None:
         self.liveness.own.demand = demand.by_team
+        self.liveness.own.is_ready = self.is_ready()
         self._send()
 
     def _publish(self, _tick: Tick | None = None) -> None:
+        self.liveness.own.is_ready = self.is_ready()
         view = self.liveness.view(self.clock.now())
         self._note_change(view)
+        self.order_sources(view)
         for reader in self.readers:
             reader.post(view)
 
--- /dev/null
+++ b/src/currantspur/tasks/sources.py
@@ -0,0 +1,102 @@
+"""Read tables from the store, or from peers that read it."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Mapping
+
+from currantspur.decisions.relays import STORE
+from currantspur.errors import StoreAwayError
+from currantspur.tasks.clock import Clock
+from currantspur.tasks.ports import Reading, Store
+
+# A source that gave no answer is left alone for this long.
+AVOID_S = 2.0
+# A peer is asked again this often, so that the first choice is soon back.
+PEER_FOLLOW_S = 3.0
+
+# Asks for a whole table instead of what changed after a revision.
+WHOLE = -1
+
+
+class RelayPort(ABC):
+    """Ask peers for rows of the store's tables."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    async def ask(
+        self, address: str, table: str, *, after: int, wait_s: float
+    ) -> Reading:
+        """Return what changed, or nothing after a while.
+
+        Raise HistoryLostError where the peer cannot tell and StoreAwayError
+        where it gave no answer. A negative revision asks for the whole table.
+        """
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close all connections."""
+
+
+class Sources(Store):
+    """Try sources in order; whoever answers is as good as the store."""
+
+    __slots__ = ('avoided', 'clock', 'order', 'relays', 'store')
+
+    def __init__(
+        self, *, store: Store, relays: RelayPort, clock: Clock
+    ) -> None:
+        self.store = store
+        self.relays = relays
+        self.clock = clock
+        self.order: tuple[str, ...] = (STORE,)
+        self.avoided: dict[tuple[str, str], float] = {}
+
+    async def read(self, table: str) -> Reading:
+        """Return all rows of a table; raise StoreAwayError."""
+        return await self._try_all(table, WHOLE, PEER_FOLLOW_S)
+
+    async def follow(self, table: str, *, after: int, wait_s: float) -> Reading:
+        """Return what changed after a revision, or nothing after a while."""
+        return await self._try_all(table, after, wait_s)
+
+    async def write(self, table: str, rows: Mapping[str, bytes | None]) -> None:
+        """Write rows; only the store takes them."""
+        await self.store.write(table, rows)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self.store.close()
+        await self.relays.close()
+
+    async def _try_all(self, table: str, after: int, wait_s: float) -> Reading:
+        failure = StoreAwayError('every source is avoided')
+        for source in self._list_sources(table):
+            try:
+                return await self._ask(source, table, after, wait_s)
+            except StoreAwayError as error:
+                failure = error
+                until = self.clock.now() + AVOID_S
+                self.avoided[table, source] = until
+        raise failure
+
+    async def _ask(
+        self, source: str, table: str, after: int, wait_s: float
+    ) -> Reading:
+        if source != STORE:
+            shorter_s = min(wait_s, PEER_FOLLOW_S)
+            return await self.relays.ask(
+                source, table, after=after, wait_s=shorter_s
+            )
+        if after == WHOLE:
+            return await self.store.read(table)
+        return await self.store.follow(table, after=after, wait_s=wait_s)
+
+    def _list_sources(self, table: str) -> tuple[str, ...]:
+        """Return those not avoided; where all are, the first choice."""
+        now = self.clock.now()
+        usable = tuple(
+            source
+            for source in self.order
+            if self.avoided.get((table, source), now) <= now
+        )
+        return usable or self.order[:1]
--- a/src/currantspur/wire/peers.py
+++ b/src/currantspur/wire/peers.py
@@ -112,6 +112,7 @@
             'life': pulse.life,
             'number': pulse.number,
             'leaving': pulse.is_leaving,
+            'ready': pulse.is_ready,
             'demand': demand,
             'revisions': pulse.revisions,
         }
@@ -125,6 +126,7 @@
         life=int(plain['life']),
         number=int(plain['number']),
         is_leaving=bool(plain['leaving']),
+        is_ready=bool(plain['ready']),
         demand={str(key): float(rate) for key, rate in demand.items()},
         revisions={str(key): int(one) for key, one in revisions.items()},
     )
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -69,6 +69,7 @@
         store=store,
         decoder=Pass(),
         readers=(reader,),
+        relay=Mailbox(),
         clock=clock,
         journal=Journal(sink=NoSink(), clock=clock),
         random=Random(1),
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -61,6 +61,8 @@
             2,
         ),
         ([(0, make_pulse('own', 7))], 1, {'own'}, 1),
+        # It lives, and has its part of the limits, but takes no callers yet.
+        ([(0, make_pulse('b', 1, is_ready=False))], 1, {'own'}, 2),
     ],
 )
 def test_who_lives(pulses, at, live, size):
--- /dev/null
+++ b/tests/test_relays.py
@@ -0,0 +1,204 @@
+import asyncio
+from contextlib import AsyncExitStack
+
+import pytest
+
+from currantspur.decisions.relays import DIRECT_SIZE, order_sources
+from currantspur.errors import HistoryLostError, StoreAwayError
+from currantspur.messages import FleetView, Instance, Rows
+from currantspur.messages.relays import RowsRequest
+from currantspur.standins import Fleet
+from currantspur.standins.fleet import find_address, wait_until
+from currantspur.tasks import Reading, RelayDesk, RelayPort, Sources, Store
+from currantspur.tasks.sources import AVOID_S
+from currantspur.wire.peers import JsonInstances
+from tests.virtual import VirtualClock
+
+
+def make_fleet(size, regions=('n', 's')):
+    return tuple(
+        Instance(
+            name=f'i{number}',
+            availability_zone=f'{regions[number % len(regions)]}1',
+            region=regions[number % len(regions)],
+            address=f'i{number}:1',
+            peer=f'i{number}:2',
+        )
+        for number in range(size)
+    )
+
+
+def order(fleet, own):
+    view = FleetView(live=fleet, size=len(fleet), demand={}, at=0.0)
+    return order_sources(view, own)
+
+
+@pytest.mark.parametrize(
+    ('size', 'readers'),
+    [(1, 1), (8, 8), (DIRECT_SIZE, DIRECT_SIZE), (20, 4), (77, 4)],
+)
+def test_few_of_a_large_fleet_read_the_store(size, readers):
+    fleet = make_fleet(size)
+    orders = {own.name: order(fleet, own) for own in fleet}
+    direct = [name for name, sources in orders.items() if not sources[0]]
+    assert len(direct) == readers
+    for own in fleet:
+        sources = orders[own.name]
+        assert own.peer not in sources
+        # Each can go on alone.
+        assert '' in sources
+        if sources[0]:
+            # A relay of the own region that itself reads the store.
+            relay = next(one for one in fleet if one.peer == sources[0])
+            assert relay.region == own.region
+            assert relay.name in direct
+
+
+def test_relays_share_the_followers():
+    fleet = make_fleet(76)
+    first = [order(fleet, own)[0] for own in fleet]
+    counts = [first.count(peer) for peer in set(first) - {''}]
+    assert max(counts) <= 27
+
+
+def test_other_relays_take_over():
+    fleet = make_fleet(40)
+    own = next(one for one in fleet if order(fleet, one)[0])
+    lost = order(fleet, own)[0]
+    left = tuple(one for one in fleet if one.peer != lost)
+    assert lost not in order(left, own)
+
+
+def bring(revision, by_key, **more):
+    return Rows(table='t', by_key=by_key, revision=revision, at=0.0, **more)
+
+
+FIRST = bring(5, {'a': b'1', 'b': b'2'}, changed=4)
+SECOND = bring(8, {'a': b'3', 'c': b'4'}, changed=8)
+
+
+@pytest.mark.parametrize(
+    ('rows', 'after', 'by_key', 'revision'),
+    [
+        ([FIRST], -1, {'a': b'1', 'b': b'2'}, 5),
+        ([FIRST, SECOND], -1, {'a': b'3', 'c': b'4'}, 8),
+        ([FIRST, SECOND], 5, {'a': b'3', 'b': None, 'c': b'4'}, 8),
+        ([FIRST, SECOND], 8, None, None),
+        ([FIRST], 5, None, None),
+        ([], -1, None, None),
+    ],
+)
+async def test_what_peers_are_told(rows, after, by_key, revision):
+    desk = RelayDesk(clock=VirtualClock())
+    for each in rows:
+        desk.mailbox.post(each)
+    asked = asyncio.create_task(
+        desk.mailbox.ask(RowsRequest(table='t', after=after))
+    )
+    await asyncio.sleep(0)
+    desk.receive(desk.mailbox.drain())
+    await asyncio.sleep(0)
+    assert asked.done() is (by_key is not None)
+    if asked.done():
+        answer = asked.result()
+        assert (answer.by_key, answer.revision) == (by_key, revision)
+    asked.cancel()
+
+
+async def test_what_was_before_is_not_known():
+    desk = RelayDesk(clock=VirtualClock())
+    desk.mailbox.post(SECOND)
+    asked = asyncio.create_task(
+        desk.mailbox.ask(RowsRequest(table='t', after=5))
+    )
+    await asyncio.sleep(0)
+    desk.receive(desk.mailbox.drain())
+    assert not (await asked).is_known
+
+
+class Named(Store, RelayPort):
+    """Answer as each source does in a table of sources."""
+
+    def __init__(self, ways):
+        self.ways = ways
+        self.asked = []
+
+    async def read(self, table):
+        return self.tell('')
+
+    async def follow(self, table, *, after, wait_s):
+        return self.tell('')
+
+    async def ask(self, address, table, *, after, wait_s):
+        return self.tell(address)
+
+    def tell(self, source):
+        self.asked.append(source)
+        way = self.ways[source]
+        if isinstance(way, Exception):
+            raise way
+        return Reading(by_key={}, revision=way)
+
+    async def write(self, table, rows):
+        raise AssertionError
+
+    async def close(self):
+        raise AssertionError
+
+
+AWAY = StoreAwayError('away')
+
+
+@pytest.mark.parametrize(
+    ('order', 'ways', 'asked', 'revision'),
+    [
+        (('', 'p'), {'': 7, 'p': 6}, [''], 7),
+        (('', 'p'), {'': AWAY, 'p': 6}, ['', 'p'], 6),
+        (('p', ''), {'': 7, 'p': 6}, ['p'], 6),
+        (('p', 'q', ''), {'': 7, 'p': AWAY, 'q': AWAY}, ['p', 'q', ''], 7),
+        (('', 'p'), {'': AWAY, 'p': AWAY}, ['', 'p'], None),
+    ],
+)
+async def test_the_first_that_answers(order, ways, asked, revision):
+    named, clock = Named(ways), VirtualClock()
+    sources = Sources(store=named, relays=named, clock=clock)
+    sources.order = order
+    try:
+        reading = await sources.follow('t', after=1, wait_s=1)
+    except StoreAwayError:
+        assert revision is None
+    else:
+        assert reading.revision == revision
+    assert named.asked == asked
+    # Those that failed are left alone for a while, then tried again.
+    named.asked.clear()
+    clock.at = AVOID_S + 0.1
+    named.ways = dict.fromkeys(ways, 9)
+    await sources.read('t')
+    assert named.asked == [order[0]]
+
+
+async def test_a_lost_history_is_passed_on():
+    named = Named({'': HistoryLostError('lost')})
+    sources = Sources(store=named, relays=named, clock=VirtualClock())
+    with pytest.raises(HistoryLostError):
+        await sources.follow('t', after=1, wait_s=1)
+
+
+async def test_an_instance_learns_from_peers():
+    async with AsyncExitStack() as stack:
+        fleet = Fleet(stack)
+        store = find_address()
+        await fleet.store.start(store)
+        stack.push_async_callback(fleet.store.close)
+        fleet.configure()
+        await fleet.open_target('target-0', 'north-1')
+        cut_off = await fleet.open_daemon('cut', 'north-1', find_address())
+        own = cut_off.membership.liveness.own.instance
+        fleet.store.put('instances', 'cut', JsonInstances().encode(own))
+        await fleet.open_daemon('sound', 'north-2', store)
+        await wait_until(cut_off.is_ready)
+        fleet.configure()
+        await wait_until(lambda: cut_off.admission.state.version == 2)
+        fleet.store.drop('servers', 'target-0')
+        await wait_until(lambda: not cut_off.dispatcher.states)
