--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -32,6 +32,7 @@
     SystemClock,
     Task,
 )
+from currantspur.tasks.tracing import NoTracer, Tracer
 from currantspur.wire.directory import Directory
 from currantspur.wire.listener import Listener
 from currantspur.wire.metrics import Metrics
@@ -253,6 +254,7 @@
             targets=self.targets,
             clock=self.clock,
             journal=self.journal,
+            tracer=_open_tracer(self.settings),
         )
 
     def _tell_revisions(self) -> Mapping[str, int]:
@@ -265,3 +267,12 @@
     def _hear_revisions(self, revisions: Mapping[str, int], at: float) -> None:
         for table, feed in self.feeds.items():
             feed.compare(revisions.get(table, -1), at)
+
+
+def _open_tracer(settings: DaemonSettings) -> Tracer:
+    if settings.collector is None:
+        return NoTracer()
+    # The libraries for it take memory that an instance without one saves.
+    from currantspur.wire.traces import open_traces
+
+    return open_traces(instance=settings.instance, collector=settings.collector)
--- a/src/currantspur/tasks/carrier.py
+++ b/src/currantspur/tasks/carrier.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncGenerator, Generator
 from contextlib import aclosing, contextmanager
+from typing import Any, Final
 
 from currantspur.decisions.retries import may_send_again
 from currantspur.errors import (
@@ -31,6 +32,7 @@
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.mailbox import Mailbox
 from currantspur.tasks.ports import BodySource, TargetPort
+from currantspur.tasks.tracing import NoTracer, Tracer
 
 Part = AnswerHead | AnswerChunk | Refusal
 # Targets that were never reached do not count as tries; this bounds them.
@@ -38,6 +40,7 @@
 # A caller that was told to come back needs time for a whole attempt.
 COME_BACK_S = 0.1
 FIRST_FAILURE = 500
+NO_TRACER: Final = NoTracer()
 
 
 class Attempt:
@@ -50,12 +53,17 @@
         'outgoing',
         'passage',
         'sends',
+        'span',
         'tried',
         'tries',
         'was_sent',
     )
 
-    def __init__(self, *, passage: Passage, outgoing: Outgoing) -> None:
+    def __init__(
+        self, *, passage: Passage, outgoing: Outgoing, span: Any
+    ) -> None:
+        """Take the span of the request, for those of its exchanges."""
+        self.span = span
         self.passage = passage
         self.outgoing = outgoing
         self.body = b''
@@ -115,7 +123,14 @@
 class Carrier:
     """Run requests; each is a stream of the parts of its answer."""
 
-    __slots__ = ('admission', 'clock', 'dispatcher', 'journal', 'targets')
+    __slots__ = (
+        'admission',
+        'clock',
+        'dispatcher',
+        'journal',
+        'targets',
+        'tracer',
+    )
 
     def __init__(
         self,
@@ -125,7 +140,9 @@
         targets: TargetPort,
         clock: Clock,
         journal: Journal,
+        tracer: Tracer = NO_TRACER,
     ) -> None:
+        self.tracer = tracer
         self.admission = admission
         self.dispatcher = dispatcher
         self.targets = targets
@@ -139,13 +156,26 @@
         body: BodySource,
     ) -> AsyncGenerator[Part]:
         """Yield a refusal, or the head and the rest of the answer."""
+        span = self.tracer.begin('entry.request')
+        try:
+            async with aclosing(
+                self._carry(arrival, outgoing, body, span)
+            ) as parts:
+                async for part in parts:
+                    yield part
+        finally:
+            self.tracer.end(span, request=arrival.request_id)
+
+    async def _carry(
+        self,
+        arrival: Arrival,
+        outgoing: Outgoing,
+        body: BodySource,
+        span: Any,
+    ) -> AsyncGenerator[Part]:
         passage: Passage = await self.admission.ask(arrival)
-        if passage.refusal is not None:
-            self._note_refusal(passage, passage.refusal, None)
-            yield passage.refusal
-            return
-        attempt = Attempt(passage=passage, outgoing=outgoing)
-        refusal = await _read_body(attempt, body)
+        attempt = Attempt(passage=passage, outgoing=outgoing, span=span)
+        refusal = passage.refusal or await _read_body(attempt, body)
         if refusal is not None:
             self._note_refusal(passage, refusal, attempt)
             yield refusal
@@ -157,18 +187,18 @@
                 yield part
 
     async def _try_targets(self, attempt: Attempt) -> AsyncGenerator[Part]:
-        while True:
+        may_go_on = True
+        while may_go_on:
             assignment = await self.dispatcher.ask(attempt.describe())
             if isinstance(assignment, Refusal):
                 yield attempt.ending or assignment
                 return
-            async for part in self._use(attempt, assignment):
-                yield part
-            if attempt.ending is None:
-                return
-            if not self._may_go_on(attempt):
-                yield attempt.ending
-                return
+            async with aclosing(self._use(attempt, assignment)) as parts:
+                async for part in parts:
+                    yield part
+            may_go_on = self._may_go_on(attempt)
+        if attempt.ending is not None:
+            yield attempt.ending
 
     def _may_go_on(self, attempt: Attempt) -> bool:
         route = attempt.passage.route
@@ -207,6 +237,7 @@
         self, attempt: Attempt, assignment: Assignment
     ) -> Generator['_Held']:
         held = _Held()
+        span = self.tracer.begin('target.request', attempt.span)
         try:
             yield held
             held.outcome = 'answered'
@@ -216,10 +247,14 @@
             if held.is_answered and not isinstance(error, TargetFailedError):
                 raise
         finally:
-            self._release(assignment, held)
+            self._release(assignment, held, span)
             self._note_exchange(attempt, assignment, held)
 
-    def _release(self, assignment: Assignment, held: '_Held') -> None:
+    def _release(
+        self, assignment: Assignment, held: '_Held', span: Any
+    ) -> None:
+        name = assignment.target.name
+        self.tracer.end(span, target=name, outcome=held.outcome)
         self.dispatcher.post(
             TargetRelease(
                 assignment=assignment, outcome=held.outcome, load=held.load
@@ -250,7 +285,7 @@
         )
 
     def _note_refusal(
-        self, passage: Passage, refusal: Refusal, attempt: Attempt | None
+        self, passage: Passage, refusal: Refusal, attempt: Attempt
     ) -> None:
         self.journal.note_failure(
             'refused',
@@ -260,7 +295,7 @@
             not_run=refusal.not_run,
             route=passage.route.name if passage.route else None,
             team=passage.team,
-            tries=attempt.tries if attempt else 0,
+            tries=attempt.tries,
             after_s=round(self.clock.now() - passage.arrival.at, 4),
             version=passage.version,
         )
