Take the first in order for one that knows the object; overload is no disturbance

Cause 1: a far target that its own region had taught seemed to know nothing to the instances of a region short of targets, so they queued at home. Change: the first in the order of an object in each region counts as knowing it; what was fast taught the object even if this instance did not; requests without an object have no order; only lost connections and moved addresses count as a disturbance near. The cap costs worth where a region is short; it holds the promise that a shift stays under its cap.

--- a/src/currantspur/decisions/placement.py
+++ b/src/currantspur/decisions/placement.py
@@ -14,8 +14,11 @@
 # The next target in the order of an object is this much of its work dearer,
 # so that all instances teach an object to the same targets.
 RANK_PRICE = 0.15
-# A recent failure costs as much as this share of the goal.
+# A recent failure costs as much as this many times the goal: more than to
+# teach the object to another target.
 TROUBLE_PRICE = 1.0
+# A target that joined is cheaper than one that knows the object, once.
+JOINED_PRICE = 0.5
 # A target queues a few times what it runs; beyond that it rejects.
 QUEUE_FACTOR = 4.0
 
@@ -71,27 +74,28 @@
     ) -> None:
         """Set the expected seconds and the cost of a candidate."""
         state = candidate.state
-        slots = max(1, state.target.slots)
+        slots = state.target.slots
         slowness = state.slowness(at)
-        work_s = times.expect(is_warm=candidate.is_warm) * slowness
-        queued = max(0.0, candidate.busy - slots + 1)
-        wait_s = queued / slots * times.warm_s * slowness
+        # All instances teach an object to the first in its order, so that one
+        # probably knows it, also in a region where this one sent nothing yet.
+        knows = candidate.is_warm or rank == 0
+        work_s = times.expect(is_warm=knows) * slowness
+        turns = max(0.0, candidate.busy - slots + 1) / slots
+        wait_s = turns * times.warm_s * slowness
         trip_s = self.nearness.trip_s(state.target.availability_zone)
         candidate.expected_s = trip_s + wait_s + work_s
-        learning_s = 0.0
-        if not candidate.is_warm:
-            is_near = trip_s < REGION_TRIP_S
-            if is_near and candidate.is_free and state.is_untaught(at):
-                # It joined and knows nothing: as if it knew the object.
-                learning_s = times.warm_s * slowness - work_s
-            else:
-                learning_s = work_s * LEARNING_PRICE
+        trouble_s = state.trouble(at) * TROUBLE_PRICE * request.route.goal_s
+        may_learn = candidate.is_free and trip_s < REGION_TRIP_S
+        if may_learn and state.is_untaught(at):
+            # It joined and knows nothing: its turn to learn something.
+            candidate.cost = JOINED_PRICE * times.warm_s + trouble_s
+            return
         candidate.cost = (
             candidate.expected_s
-            + learning_s
+            + work_s * LEARNING_PRICE * (not knows)
             + self._price_of_way(state)
             + rank * RANK_PRICE * times.cold_s
-            + state.trouble(at) * TROUBLE_PRICE * request.route.goal_s
+            + trouble_s
         )
 
     def _price_of_way(self, state: TargetState) -> float:
--- a/src/currantspur/decisions/work.py
+++ b/src/currantspur/decisions/work.py
@@ -24,6 +24,10 @@
         """Return the seconds of work of the next request."""
         return self.warm_s if is_warm else self.cold_s
 
+    def looks_warm(self, seconds: float) -> bool:
+        """Tell whether a target that took this long knew the object."""
+        return seconds < (self.cold_s + self.warm_s) / 2
+
     def learn(self, seconds: float, *, is_warm: bool) -> None:
         """Take the work of a request that did not wait."""
         known = self.expect(is_warm=is_warm)
--- a/src/currantspur/messages/traffic.py
+++ b/src/currantspur/messages/traffic.py
@@ -21,7 +21,10 @@
     'target_failed',
 ]
 NO_TARGETS: Final[frozenset[str]] = frozenset()
-Outcome = Literal['answered', 'failed', 'moved', 'shed', 'unknown']
+# Late: no answer in time. Erred: an answer that says the target failed.
+Outcome = Literal[
+    'answered', 'erred', 'failed', 'late', 'moved', 'shed', 'unknown'
+]
 
 
 class Refusal(Message):
--- a/src/currantspur/pipelines/placement.py
+++ b/src/currantspur/pipelines/placement.py
@@ -143,7 +143,8 @@
         zone = one.state.target.availability_zone
         region = state.nearness.find_region(zone)
         rank = ranks.get(region, 0)
-        ranks[region] = rank + 1
+        # Without an object there is no order.
+        ranks[region] = rank + int(request.object_key is not None)
         state.placement.price(one, request, times, rank=rank, at=at)
         yield one
 
--- a/src/currantspur/tasks/carrier.py
+++ b/src/currantspur/tasks/carrier.py
@@ -40,6 +40,7 @@
 # A caller that was told to come back needs time for a whole attempt.
 COME_BACK_S = 0.1
 FIRST_FAILURE = 500
+Verdict = tuple[type[TargetError], Outcome]
 NO_TRACER: Final = NoTracer()
 
 
@@ -328,11 +329,18 @@
             self.outcome = 'answered'
 
 
+OUTCOMES: Final[tuple[Verdict, ...]] = (
+    (TargetShedError, 'shed'),
+    (TargetMovedError, 'moved'),
+    (TargetTimeoutError, 'late'),
+    (TargetFailedError, 'erred'),
+)
+
+
 def _judge(error: TargetError) -> Outcome:
-    if isinstance(error, TargetShedError):
-        return 'shed'
-    if isinstance(error, TargetMovedError):
-        return 'moved'
+    for kind, outcome in OUTCOMES:
+        if isinstance(error, kind):
+            return outcome
     return 'failed'
 
 
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -38,6 +38,9 @@
 # A service without targets gets them back in seconds, not sooner.
 NO_TARGET_WAIT_S = 0.5
 SHORTEST_S = 0.001
+# What counts against a target, and what tells of a fault near it.
+TROUBLES = frozenset(('erred', 'failed', 'late', 'moved'))
+DISTURBANCES = frozenset(('failed', 'moved'))
 
 
 class Dispatcher(Task):
@@ -163,11 +166,16 @@
             self._measure(state, assignment, now)
         elif release.outcome == 'shed':
             state.overflow(now)
-        elif release.outcome in {'failed', 'moved'}:
+        elif release.outcome in TROUBLES:
             state.fail(now)
-            zone = assignment.target.availability_zone
-            if not self.placing.nearness.is_far(zone):
-                self.placing.shift.disturb(now)
+            self._note_disturbance(release, now)
+
+    def _note_disturbance(self, release: TargetRelease, now: float) -> None:
+        # An overload is late and errs too: it may not move requests at once.
+        zone = release.assignment.target.availability_zone
+        is_near = not self.placing.nearness.is_far(zone)
+        if is_near and release.outcome in DISTURBANCES:
+            self.placing.shift.disturb(now)
 
     def _measure(
         self, state: TargetState, assignment: Assignment, now: float
@@ -178,8 +186,10 @@
         trip_s = self.placing.nearness.trip_s(zone)
         took_s = max(SHORTEST_S, now - assignment.taken_at - trip_s)
         times = self.placing.expect(assignment.request)
-        expected_s = times.expect(is_warm=assignment.is_warm)
-        times.learn(took_s, is_warm=assignment.is_warm)
+        # Another instance may have taught the object to the target.
+        is_warm = assignment.is_warm or times.looks_warm(took_s)
+        expected_s = times.expect(is_warm=is_warm)
+        times.learn(took_s, is_warm=is_warm)
         state.measure(took_s / expected_s, now)
 
     def _apply(self, seen: ConfigurationSeen) -> None:
--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,126 @@
+import asyncio
+
+import pytest
+
+from currantspur.decisions.nearness import Nearness
+from currantspur.messages import (
+    Part,
+    Refusal,
+    Route,
+    Target,
+    TargetLoad,
+    TargetRelease,
+    TargetRequest,
+    TargetsSeen,
+)
+from currantspur.messages.limits import FleetLimits
+from currantspur.tasks import Dispatcher, Journal
+from currantspur.tasks.mailbox import Letter
+from tests.test_admission import NoSink
+from tests.virtual import VirtualClock
+
+REGIONS = {'n1': 'n', 's1': 's'}
+ROUTE = Route(
+    name='r',
+    host='h',
+    prefix='/',
+    parts=(Part(service='s', weight=1),),
+    is_idempotent=True,
+    timeout_s=2.0,
+    goal_s=0.3,
+    tries=2,
+)
+
+
+def make_dispatcher(*zones, **limits):
+    clock = VirtualClock()
+    dispatcher = Dispatcher(
+        clock=clock,
+        nearness=Nearness(availability_zone='n1', regions=REGIONS),
+        limits=FleetLimits(**limits),
+        journal=Journal(sink=NoSink(), clock=clock),
+    )
+    targets = {
+        f't{number}': Target(
+            name=f't{number}',
+            service='s',
+            address=f'10.0.0.1:{number}',
+            availability_zone=zone,
+            slots=3,
+        )
+        for number, zone in enumerate(zones)
+    }
+    dispatcher.learn(TargetsSeen(by_name=targets, revision=1, at=0.0))
+    return dispatcher
+
+
+async def ask(dispatcher, **more):
+    request = TargetRequest(
+        request_id='x', route=ROUTE, service='s', deadline=9.0, **more
+    )
+    reply = asyncio.get_running_loop().create_future()
+    dispatcher.receive([Letter(request, reply)])
+    return await reply
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'is_avoided', 'may_leave'),
+    [
+        ('answered', False, False),
+        ('unknown', False, False),
+        ('shed', True, False),
+        # An overload: dearer, but no reason to leave the region at once.
+        ('late', True, False),
+        ('erred', True, False),
+        ('failed', True, True),
+        ('moved', True, True),
+    ],
+)
+async def test_what_an_outcome_teaches(outcome, is_avoided, may_leave):
+    dispatcher = make_dispatcher('n1', 'n1')
+    first = await ask(dispatcher)
+    dispatcher.learn(TargetRelease(assignment=first, outcome=outcome))
+    second = await ask(dispatcher)
+    assert (second.target != first.target) is is_avoided
+    shift = dispatcher.placing.shift
+    assert (shift.disturbed_until > 0) is may_leave
+
+
+@pytest.mark.parametrize(
+    ('zones', 'more', 'code'),
+    [
+        ((), {}, 'no_target'),
+        (('n1',), {'without': frozenset(('t0',))}, 'no_target'),
+        (('n1',), {'home_regions': frozenset(('s',))}, 'no_target'),
+        (('n1',), {'attempt': 1}, None),
+    ],
+)
+async def test_refusals_say_when_to_come_back(zones, more, code):
+    dispatcher = make_dispatcher(*zones)
+    found = await ask(dispatcher, **more)
+    assert isinstance(found, Refusal) is bool(code)
+    if code:
+        assert (found.code, found.not_run) == (code, True)
+        assert found.retry_after_s > 0
+
+
+async def test_a_full_service_is_refused_and_recovers():
+    dispatcher = make_dispatcher('n1')
+    given = [await ask(dispatcher) for _ in range(13)]
+    assert given[12].code == 'no_room'
+    for assignment in given[:12]:
+        dispatcher.learn(
+            TargetRelease(
+                assignment=assignment,
+                outcome='answered',
+                load=TargetLoad(running=0, waiting=0, slots=3),
+            )
+        )
+    assert (await ask(dispatcher)).target.name == 't0'
+
+
+async def test_repeats_are_bounded():
+    dispatcher = make_dispatcher('n1', 'n1', retry_slack=8.0)
+    found = [await ask(dispatcher, attempt=1) for _ in range(9)]
+    refused = [one for one in found if isinstance(one, Refusal)]
+    assert len(refused) == 5
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from currantspur.decisions.affinity import weigh
 from currantspur.decisions.nearness import Nearness
 from currantspur.decisions.shift import ShiftCap
 from currantspur.decisions.target_state import TargetState
@@ -51,6 +52,15 @@
     return state
 
 
+def find_key(first: str, others=('t1', 't2', 't3')) -> str:
+    """Return an object for which a target comes before others."""
+    return next(
+        key
+        for key in map(str, range(1000))
+        if all(weigh(key, first) > weigh(key, other) for other in others)
+    )
+
+
 def ask(**more) -> TargetRequest:
     return TargetRequest(
         **{
@@ -96,26 +106,27 @@
     ('zones', 'busy', 'warm', 'chosen'),
     [
         # The own zone first, then the region, then elsewhere.
-        (('n1', 'n2', 's1'), {}, (), 't0'),
-        (('n2', 's1'), {}, (), 't0'),
-        # A target that knows the object is worth a way.
-        (('n1', 'n2'), {}, (1,), 't1'),
-        (('n1', 's1'), {}, (1,), 't1'),
-        # Its queue counts against it.
+        (('n1', 'n2', 's1'), {}, None, 't0'),
+        (('n2', 's1'), {}, None, 't0'),
+        # The first in order of the region probably knows the object.
+        (('n1', 'n2'), {}, (), 't0'),
+        (('n1', 's1'), {}, (), 't0'),
+        # One that surely does is worth a way.
+        (('n1', 'n1', 'n1', 'n2'), {0: 6}, (3,), 't3'),
+        # A queue counts; the first in order elsewhere is the better then.
         (('n1', 'n1'), {0: 9}, (0, 1), 't1'),
-        (('n1', 's1'), {0: 11}, (0, 1), 't1'),
+        (('n1', 's1'), {0: 11}, (0,), 't1'),
     ],
 )
 def test_the_cheapest_is_chosen(zones, busy, warm, chosen):
     state = make_state(*zones)
     states = state.by_service['s']
-    for number in warm:
-        states[number].succeed(1.0, '17')
-    for one in states:
-        one.taught_at = 1.0
+    object_key = None if warm is None else find_key('t0')
+    for number in warm or ():
+        states[number].succeed(1.0, object_key)
     for number, own in busy.items():
         states[number].own = own
-    request = ask(object_key='17' if warm else None)
+    request = ask(object_key=object_key)
     assert place(request, state, 1.0).state.target.name == chosen
 
 
@@ -138,14 +149,16 @@
 ):
     state = make_state('n1', zone)
     known, joined = state.by_service['s']
-    known.succeed(0.5, '17')
+    object_key = find_key('t0', ('t1',))
+    request = ask(object_key=object_key)
+    known.succeed(0.5, object_key)
     joined.has_joined = has_joined
     joined.own = own
     if given_s is not None:
         joined.taught_at = 1.0 - given_s
-    assert (place(ask(), state, 1.0).state is joined) is is_chosen
+    assert (place(request, state, 1.0).state is joined) is is_chosen
     joined.succeed(1.0, 'another')
-    assert place(ask(), state, 9.0).state is known
+    assert place(request, state, 9.0).state is known
 
 
 @pytest.mark.parametrize(
