Split attempts from the carrier, drop what nothing uses, count every exchange

Change: tasks/attempts.py holds what is known while targets are tried; Reading is the one class for rows read; unused readers of YAML, an error and a gauge are gone; the metrics show versions, targets and instances known and count every exchange, also those whose lines are left out.

--- a/src/currantspur/cli/daemons.py
+++ b/src/currantspur/cli/daemons.py
@@ -28,7 +28,7 @@
     metrics = Metrics()
     open_log(NonBlockingOutput(sys.stdout.fileno(), metrics))
     clock = SystemClock()
-    sink = JsonLines(instance=settings.instance, clock=clock)
+    sink = JsonLines(instance=settings.instance, clock=clock, metrics=metrics)
     daemon = Daemon(settings, sink=sink, metrics=metrics, clock=clock)
     await daemon.start()
     signalled = asyncio.ensure_future(_wait_for_signal(daemon))
--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -117,6 +117,7 @@
             metrics=self.metrics,
             names=PLATFORM_NAMES,
         )
+        self._show_beliefs()
         self.jobs = Jobs()
         self.servers: list[Server] = []
 
@@ -161,6 +162,20 @@
         """Close everything at once."""
         await self._end()
 
+    def _show_beliefs(self) -> None:
+        watch = self.metrics.watch
+        watch(
+            'configuration_version',
+            'Version in force.',
+            lambda: self.admission.state.version,
+        )
+        watch('targets', 'Targets known.', lambda: len(self.dispatcher.states))
+        watch(
+            'instances',
+            'Instances that take callers.',
+            lambda: len(self.membership.shown),
+        )
+
     async def _listen(self) -> None:
         directory = Directory(
             membership=self.membership.mailbox,
--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -40,10 +40,6 @@
     """Report a row that cannot be understood."""
 
 
-class LoadError(CurrantspurError):
-    """Report a load run that may not start."""
-
-
 class TaskFailedError(CurrantspurError):
     """Report that a task failed while it handled a message."""
 
--- a/src/currantspur/messages/relays.py
+++ b/src/currantspur/messages/relays.py
@@ -1,4 +1,4 @@
-"""Define what instances pass on to each other of what the store said."""
+"""Define what is read of a table, from the store or from peers."""
 
 from collections.abc import Mapping
 
@@ -18,16 +18,10 @@
         self.after = after
 
 
-class RowsAnswer(Message):
-    """Hold changed rows; a value of None says that the row is gone."""
+class Reading(Message):
+    """Hold rows of a table; a value of None says that the row is gone."""
 
-    __slots__ = (
-        'by_key',
-        'changed',
-        'is_known',
-        'outage_ended_s_ago',
-        'revision',
-    )
+    __slots__ = ('by_key', 'changed', 'outage_ended_s_ago', 'revision')
 
     def __init__(
         self,
@@ -36,25 +30,12 @@
         revision: int,
         changed: int = -1,
         outage_ended_s_ago: float = FOREVER,
-        is_known: bool = True,
     ) -> None:
-        """Take the store's revision and the newest one of these rows.
+        """Take the store's revision and that of the newest of these rows.
 
-        An answer that is not known says that this instance cannot tell what
-        changed after the revision asked for.
+        A peer that answers for the store tells when an outage last ended.
         """
         self.by_key = by_key
         self.revision = revision
         self.changed = changed
         self.outage_ended_s_ago = outage_ended_s_ago
-        self.is_known = is_known
-
-
-class SourceOrder(Message):
-    """Name whom to read from, first choice first."""
-
-    __slots__ = ('sources',)
-
-    def __init__(self, *, sources: tuple[str, ...]) -> None:
-        """Take addresses of peers; the empty text is the store itself."""
-        self.sources = sources
--- a/src/currantspur/platform/store.py
+++ b/src/currantspur/platform/store.py
@@ -9,7 +9,8 @@
 import orjson
 
 from currantspur.errors import HistoryLostError, StoreAwayError
-from currantspur.tasks.ports import Reading, Store
+from currantspur.messages.relays import Reading
+from currantspur.tasks.ports import Store
 from currantspur.wire.metrics import Metrics
 from currantspur.wire.sockets import open_probed
 
--- a/src/currantspur/settings/document.py
+++ b/src/currantspur/settings/document.py
@@ -1,8 +1,8 @@
 """Read YAML as nodes that know their place and collect findings."""
 
 import math
-from collections.abc import Collection, Iterable, Iterator
-from ipaddress import IPv4Network, IPv6Network, ip_address, ip_network
+from collections.abc import Iterable, Iterator
+from ipaddress import ip_address
 from itertools import chain
 from typing import TypeVar
 
@@ -19,15 +19,12 @@
 NOT_A_NAME = '?'
 _TEXT_TAG = 'tag:yaml.org,2002:str'
 _NULL_TAG = 'tag:yaml.org,2002:null'
-_BOOL_TAG = 'tag:yaml.org,2002:bool'
 _NUMBER_TAGS = frozenset(
     (
         'tag:yaml.org,2002:int',
         'tag:yaml.org,2002:float',
     )
 )
-_HEXADECIMAL = frozenset('0123456789abcdef')
-_TRUE_WORDS = frozenset(('true', 'yes', 'on'))
 
 
 class Document:
@@ -95,18 +92,6 @@
         """List the names of a mapping."""
         return [_read_name(key) for key, _ in self._pairs()]
 
-    def each(self, name: str) -> Iterator['Cursor']:
-        """Yield the members of the list under a name."""
-        member = self.child(name)
-        if member.absent:
-            return
-        if not isinstance(member.node, yaml.SequenceNode):
-            member.blame('expected a list')
-            return
-        for index, node in enumerate(member.node.value):
-            path = f'{member.path}[{index}]'
-            yield Cursor(self.document, node, path=path)
-
     @property
     def absent(self) -> bool:
         """Tell whether nothing was written here."""
@@ -122,15 +107,6 @@
             return ''
         return str(member.node.value)
 
-    def choice(self, name: str, choices: Collection[str], default: str) -> str:
-        """Return one of the texts named."""
-        chosen = self.text(name, default)
-        if chosen not in choices:
-            wanted = ', '.join(sorted(choices))
-            self.child(name).blame(f'expected one of {wanted}')
-            return default
-        return chosen
-
     def number(
         self,
         name: str,
@@ -152,16 +128,6 @@
             return low
         return number
 
-    def flag(self, name: str, *, default: bool) -> bool:
-        """Return true or false."""
-        member = self.child(name)
-        if member.absent or member.node is None:
-            return default
-        if member.node.tag != _BOOL_TAG:
-            member.blame('expected true or false')
-            return default
-        return str(member.node.value).lower() in _TRUE_WORDS
-
     def address(self, name: str, default: str | None = None) -> str:
         """Return an IP number with a port, as 127.0.0.1:8080 or [::1]:8080."""
         text = self.text(name, default)
@@ -171,22 +137,6 @@
             )
         return text
 
-    def hexadecimal(self, name: str, digits: int) -> str:
-        """Return a text of that many lower-case hexadecimal digits."""
-        text = self.text(name)
-        if text and (len(text) != digits or not set(text) <= _HEXADECIMAL):
-            self.child(name).blame(f'expected {digits} hexadecimal digits')
-        return text
-
-    def network(self, name: str) -> IPv4Network | IPv6Network:
-        """Return a prefix of IP numbers."""
-        text = self.text(name)
-        try:
-            return ip_network(text)
-        except ValueError:
-            self.child(name).blame('expected a prefix, such as 192.0.2.0/24')
-        return ip_network('0.0.0.0/0')
-
     def missing(self, default: _Plain | None, fallback: _Plain) -> _Plain:
         """Return the default; blame its absence."""
         if default is None:
--- a/src/currantspur/standins/fleet.py
+++ b/src/currantspur/standins/fleet.py
@@ -48,6 +48,9 @@
         """Keep a line."""
         self.lines.append((kind, fields))
 
+    def count(self, kind: str, outcome: str) -> None:
+        """Count nothing."""
+
     def find(self, kind: str) -> list[dict[str, Any]]:
         """Return the fields of all lines of a kind."""
         return [fields for known, fields in self.lines if known == kind]
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -11,7 +11,6 @@
 from currantspur.tasks.ports import (
     BodySource,
     PulsePort,
-    Reading,
     Store,
     TargetPort,
 )
@@ -33,7 +32,6 @@
     'Mailbox',
     'Membership',
     'PulsePort',
-    'Reading',
     'Registrar',
     'RelayDesk',
     'RelayPort',
--- a/src/currantspur/tasks/carrier.py
+++ b/src/currantspur/tasks/carrier.py
@@ -4,30 +4,23 @@
 from contextlib import aclosing, contextmanager
 from typing import Any, Final
 
-from currantspur.decisions.retries import may_send_again
 from currantspur.errors import (
     BodyCutError,
     BodyTooLargeError,
     TargetError,
     TargetFailedError,
-    TargetMovedError,
-    TargetShedError,
-    TargetTimeoutError,
 )
 from currantspur.messages import (
     AnswerChunk,
     AnswerHead,
     Arrival,
     Assignment,
-    Outcome,
     Outgoing,
     Passage,
     Refusal,
-    RefusalCode,
-    TargetLoad,
     TargetRelease,
-    TargetRequest,
 )
+from currantspur.tasks.attempts import Attempt, Held, judge_error
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.mailbox import Mailbox
@@ -35,92 +28,9 @@
 from currantspur.tasks.tracing import NoTracer, Tracer
 
 Part = AnswerHead | AnswerChunk | Refusal
-# Targets that were never reached do not count as tries; this bounds them.
-SENDS_LIMIT = 5
-# A caller that was told to come back needs time for a whole attempt.
-COME_BACK_S = 0.1
-FIRST_FAILURE = 500
-Verdict = tuple[type[TargetError], Outcome]
 NO_TRACER: Final = NoTracer()
 
 
-class Attempt:
-    """Hold what is known of one request while it is being sent."""
-
-    __slots__ = (
-        'answer',
-        'body',
-        'failure',
-        'outgoing',
-        'passage',
-        'sends',
-        'span',
-        'tried',
-        'tries',
-        'was_sent',
-    )
-
-    def __init__(
-        self, *, passage: Passage, outgoing: Outgoing, span: Any
-    ) -> None:
-        """Take the span of the request, for those of its exchanges."""
-        self.span = span
-        self.passage = passage
-        self.outgoing = outgoing
-        self.body = b''
-        self.sends = 0
-        self.tries = 0
-        self.tried: frozenset[str] = frozenset()
-        self.failure: Refusal | None = None
-        self.answer: AnswerHead | None = None
-        self.was_sent = False
-
-    @property
-    def is_idempotent(self) -> bool:
-        """Tell whether the route says that requests may run twice."""
-        route = self.passage.route
-        return route is not None and route.is_idempotent
-
-    @property
-    def ending(self) -> AnswerHead | Refusal | None:
-        """What the caller gets if no other target does better."""
-        return (self.answer or self.failure) if self.failure else None
-
-    def describe(self) -> TargetRequest:
-        """Return what to ask the dispatcher for."""
-        passage = self.passage
-        if passage.route is None:
-            raise AssertionError('an admitted passage has a route')
-        has_affinity = passage.route.has_affinity
-        return TargetRequest(
-            request_id=passage.arrival.request_id,
-            route=passage.route,
-            service=passage.service,
-            deadline=passage.deadline,
-            object_key=passage.arrival.object_key if has_affinity else None,
-            home_regions=passage.home_regions,
-            attempt=self.tries,
-            without=self.tried,
-        )
-
-    def fail(self, assignment: Assignment, error: TargetError) -> None:
-        """Note why a target gave no answer."""
-        self.sends += 1
-        self.tried |= {assignment.target.name}
-        arrived = error.sent or isinstance(error, TargetShedError)
-        self.tries += int(arrived)
-        self.was_sent = self.was_sent or error.sent
-        if isinstance(error, TargetFailedError):
-            self.answer = error.answer
-        is_late = isinstance(error, TargetTimeoutError)
-        self.failure = Refusal(
-            code=_name_failure(is_late=is_late, was_sent=self.was_sent),
-            detail=f'{assignment.target.name}: {error}',
-            not_run=not self.was_sent,
-            retry_after_s=None if self.was_sent else COME_BACK_S,
-        )
-
-
 class Carrier:
     """Run requests; each is a stream of the parts of its answer."""
 
@@ -197,23 +107,10 @@
             async with aclosing(self._use(attempt, assignment)) as parts:
                 async for part in parts:
                     yield part
-            may_go_on = self._may_go_on(attempt)
+            may_go_on = attempt.may_go_on(self.clock.now())
         if attempt.ending is not None:
             yield attempt.ending
 
-    def _may_go_on(self, attempt: Attempt) -> bool:
-        route = attempt.passage.route
-        if attempt.failure is None or route is None:
-            return False
-        return may_send_again(
-            is_idempotent=attempt.is_idempotent,
-            was_sent=attempt.was_sent,
-            tries_left=min(
-                route.tries - attempt.tries, SENDS_LIMIT - attempt.sends
-            ),
-            left_s=attempt.passage.deadline - self.clock.now(),
-        )
-
     async def _use(
         self, attempt: Attempt, assignment: Assignment
     ) -> AsyncGenerator[AnswerHead | AnswerChunk]:
@@ -236,14 +133,14 @@
     @contextmanager
     def _hold(
         self, attempt: Attempt, assignment: Assignment
-    ) -> Generator['_Held']:
-        held = _Held()
+    ) -> Generator[Held]:
+        held = Held()
         span = self.tracer.begin('target.request', attempt.span)
         try:
             yield held
             held.outcome = 'answered'
         except TargetError as error:
-            held.outcome = _judge(error)
+            held.outcome = judge_error(error)
             attempt.fail(assignment, error)
             if held.is_answered and not isinstance(error, TargetFailedError):
                 raise
@@ -251,9 +148,7 @@
             self._release(assignment, held, span)
             self._note_exchange(attempt, assignment, held)
 
-    def _release(
-        self, assignment: Assignment, held: '_Held', span: Any
-    ) -> None:
+    def _release(self, assignment: Assignment, held: Held, span: Any) -> None:
         name = assignment.target.name
         self.tracer.end(span, target=name, outcome=held.outcome)
         self.dispatcher.post(
@@ -263,7 +158,7 @@
         )
 
     def _note_exchange(
-        self, attempt: Attempt, assignment: Assignment, held: '_Held'
+        self, attempt: Attempt, assignment: Assignment, held: Held
     ) -> None:
         passage = attempt.passage
         write = self.journal.note_failure
@@ -302,54 +197,6 @@
         )
 
 
-class _Held:
-    """Hold what came of an exchange so far."""
-
-    __slots__ = ('is_answered', 'load', 'outcome', 'status')
-
-    def __init__(self) -> None:
-        # A caller that leaves ends the exchange without a verdict.
-        self.outcome: Outcome = 'unknown'
-        self.load: TargetLoad | None = None
-        self.is_answered = False
-        self.status = 0
-
-    def note(self, part: AnswerHead | AnswerChunk, attempt: Attempt) -> None:
-        """Take a part; raise TargetFailedError where another may do better."""
-        if isinstance(part, AnswerChunk):
-            return
-        self.is_answered = True
-        self.load = part.load
-        self.status = part.status
-        is_failure = part.status >= FIRST_FAILURE and part.body is not None
-        if is_failure and attempt.is_idempotent and not attempt.tries:
-            raise TargetFailedError(part)
-        if part.body is not None:
-            # The caller may leave once it has the whole answer.
-            self.outcome = 'answered'
-
-
-OUTCOMES: Final[tuple[Verdict, ...]] = (
-    (TargetShedError, 'shed'),
-    (TargetMovedError, 'moved'),
-    (TargetTimeoutError, 'late'),
-    (TargetFailedError, 'erred'),
-)
-
-
-def _judge(error: TargetError) -> Outcome:
-    for kind, outcome in OUTCOMES:
-        if isinstance(error, kind):
-            return outcome
-    return 'failed'
-
-
-def _name_failure(*, is_late: bool, was_sent: bool) -> RefusalCode:
-    if is_late:
-        return 'deadline_passed'
-    return 'outcome_unknown' if was_sent else 'target_failed'
-
-
 async def _read_body(attempt: Attempt, body: BodySource) -> Refusal | None:
     try:
         attempt.body = await body.read(attempt.passage.body_bytes)
--- a/src/currantspur/tasks/feed.py
+++ b/src/currantspur/tasks/feed.py
@@ -7,11 +7,12 @@
 
 from currantspur.errors import HistoryLostError, StoreAwayError
 from currantspur.messages import Message, Rows
+from currantspur.messages.relays import Reading
 from currantspur.pipelines.filter import Filter
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.mailbox import Mailbox
-from currantspur.tasks.ports import Reading, Store
+from currantspur.tasks.ports import Store
 
 # A call returns by itself after this time; connections that fell silent are
 # found sooner by their keep-alive probes and by what peers have seen.
--- a/src/currantspur/tasks/journal.py
+++ b/src/currantspur/tasks/journal.py
@@ -21,6 +21,10 @@
     def write(self, kind: str, fields: dict[str, Any]) -> None:
         """Write a line, or count it as lost where the reader is slow."""
 
+    @abstractmethod
+    def count(self, kind: str, outcome: str) -> None:
+        """Count a line that may be left out."""
+
 
 class Journal:
     """Note decisions within a bound a second."""
@@ -48,7 +52,7 @@
 
     def note_failure(self, kind: str, **fields: Any) -> None:
         """Note a request that was refused or failed."""
-        self._open_window()
+        self._open_window(kind, fields)
         if self.failures_left > 0:
             self.failures_left -= 1
             self.sink.write(kind, fields)
@@ -57,14 +61,15 @@
 
     def note_success(self, kind: str, **fields: Any) -> None:
         """Note a request that was answered."""
-        self._open_window()
+        self._open_window(kind, fields)
         if self.successes_left > 0:
             self.successes_left -= 1
             self.sink.write(kind, fields)
         else:
             self.omitted += 1
 
-    def _open_window(self) -> None:
+    def _open_window(self, kind: str, fields: dict[str, Any]) -> None:
+        self.sink.count(kind, str(fields.get('outcome') or fields.get('code')))
         now = self.clock.now()
         if now < self.window_until:
             return
--- a/src/currantspur/tasks/ports.py
+++ b/src/currantspur/tasks/ports.py
@@ -10,34 +10,10 @@
     Outgoing,
     Pulse,
 )
-from currantspur.messages.base import Message
-from currantspur.messages.relays import FOREVER
+from currantspur.messages.relays import Reading
 from currantspur.messages.targets import Target
 
 
-class Reading(Message):
-    """Hold rows of a table; a value of None says that the row is gone."""
-
-    __slots__ = ('by_key', 'changed', 'outage_ended_s_ago', 'revision')
-
-    def __init__(
-        self,
-        *,
-        by_key: Mapping[str, bytes | None],
-        revision: int,
-        changed: int = -1,
-        outage_ended_s_ago: float = FOREVER,
-    ) -> None:
-        """Take the store's revision and that of the newest of these rows.
-
-        A peer that answers for the store tells when an outage last ended.
-        """
-        self.outage_ended_s_ago = outage_ended_s_ago
-        self.by_key = by_key
-        self.revision = revision
-        self.changed = changed
-
-
 class Store(ABC):
     """Read and write the platform's tables."""
 
--- a/src/currantspur/tasks/relay_desk.py
+++ b/src/currantspur/tasks/relay_desk.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from currantspur.messages import Rows
-from currantspur.messages.relays import RowsAnswer, RowsRequest
+from currantspur.messages.relays import Reading, RowsRequest
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.mailbox import Letter
 from currantspur.tasks.task import Task
@@ -90,14 +90,15 @@
         if known is None:
             return False
         if 0 <= request.after < known.first_revision:
-            letter.answer(RowsAnswer(by_key={}, revision=-1, is_known=False))
+            # What changed since then is not known here.
+            letter.answer(None)
             return True
         changed = known.list_changed(request.after)
         if request.after >= 0 and not changed:
             return False
         rows = known.rows
         letter.answer(
-            RowsAnswer(
+            Reading(
                 by_key=changed,
                 revision=rows.revision,
                 changed=rows.changed,
--- a/src/currantspur/tasks/sources.py
+++ b/src/currantspur/tasks/sources.py
@@ -5,8 +5,9 @@
 
 from currantspur.decisions.relays import STORE
 from currantspur.errors import StoreAwayError
+from currantspur.messages.relays import Reading
 from currantspur.tasks.clock import Clock
-from currantspur.tasks.ports import Reading, Store
+from currantspur.tasks.ports import Store
 
 # A source that gave no answer is left alone for this long.
 AVOID_S = 2.0
--- a/src/currantspur/wire/listener.py
+++ b/src/currantspur/wire/listener.py
@@ -37,7 +37,6 @@
     keep_headers,
 )
 
-HEADER_LIMIT_BYTES = 65_536
 MS_PER_S = 1000.0
 DIGITS_LIMIT = 9
 ID_LIMIT = 128
--- a/src/currantspur/wire/logs.py
+++ b/src/currantspur/wire/logs.py
@@ -61,9 +61,12 @@
 class JsonLines(LineSink):
     """Write each line as one JSON object, through the logger."""
 
-    __slots__ = ('clock', 'instance')
+    __slots__ = ('clock', 'instance', 'metrics')
 
-    def __init__(self, *, instance: str, clock: Clock) -> None:
+    def __init__(
+        self, *, instance: str, clock: Clock, metrics: Metrics
+    ) -> None:
+        self.metrics = metrics
         self.instance = instance
         self.clock = clock
 
@@ -78,6 +81,11 @@
         }
         logger.bind(line=orjson.dumps(line).decode()).info(kind)
 
+    def count(self, kind: str, outcome: str) -> None:
+        """Count an exchange; refusals are counted where they are answered."""
+        if kind == 'exchange':
+            self.metrics.exchanges.labels(outcome).inc()
+
 
 def open_log(output: NonBlockingOutput) -> None:
     """Send the lines of the logger to an output, and nowhere else."""
--- a/src/currantspur/wire/metrics.py
+++ b/src/currantspur/wire/metrics.py
@@ -1,5 +1,7 @@
 """Count what an instance does, for the metrics address."""
 
+from collections.abc import Callable
+
 from aiohttp import web
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
@@ -18,7 +20,6 @@
         'requests',
         'seconds',
         'store_calls',
-        'table_revision',
     )
 
     def __init__(self) -> None:
@@ -51,12 +52,6 @@
             ('kind', 'outcome'),
             registry=self.registry,
         )
-        self.table_revision = Gauge(
-            'currantspur_table_revision',
-            'Newest revision known of each table.',
-            ('table',),
-            registry=self.registry,
-        )
         self.seconds = Histogram(
             'currantspur_request_seconds',
             'Seconds from the arrival of a request to its end.',
@@ -64,6 +59,15 @@
             registry=self.registry,
         )
 
+    def watch(
+        self, name: str, description: str, read: Callable[[], float]
+    ) -> None:
+        """Show a figure as it is whenever the metrics are read."""
+        gauge = Gauge(
+            f'currantspur_{name}', description, registry=self.registry
+        )
+        gauge.set_function(read)
+
     async def show(self, _request: web.BaseRequest) -> web.Response:
         """Answer with all metrics as text."""
         return web.Response(
--- a/src/currantspur/wire/relays.py
+++ b/src/currantspur/wire/relays.py
@@ -15,15 +15,15 @@
 )
 
 from currantspur.errors import HistoryLostError, StoreAwayError
-from currantspur.messages.relays import FOREVER, RowsAnswer, RowsRequest
+from currantspur.messages.relays import FOREVER, Reading, RowsRequest
 from currantspur.tasks.mailbox import Mailbox
-from currantspur.tasks.ports import Reading
 from currantspur.tasks.sources import RelayPort
 from currantspur.wire.sockets import open_probed
 
 PATH = '/rows'
 MARGIN_S = 0.5
 LONGEST_WAIT_S = 30.0
+NOT_KNOWN: Final = b'null'
 # What reading an answer of another shape raises.
 MISTAKES: Final = (ValueError, KeyError, TypeError, AttributeError)
 
@@ -88,8 +88,10 @@
         await self.session.close()
 
 
-def encode_rows(answer: RowsAnswer) -> bytes:
-    """Return the JSON form of an answer."""
+def encode_rows(answer: Reading | None) -> bytes:
+    """Return the JSON form of an answer; null for what is not known."""
+    if answer is None:
+        return NOT_KNOWN
     return orjson.dumps(
         {
             'rows': {
@@ -99,7 +101,6 @@
             'revision': answer.revision,
             'changed': answer.changed,
             'outage_ended_s_ago': answer.outage_ended_s_ago,
-            'is_known': answer.is_known,
         }
     )
 
@@ -117,7 +118,7 @@
 
 
 def _read(plain: Any) -> Reading:
-    if not plain['is_known']:
+    if plain is None:
         raise HistoryLostError('peer')
     ended = plain['outage_ended_s_ago']
     return Reading(
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,12 +7,11 @@
     Configuration,
     ConfigurationSeen,
     FleetView,
-    Part,
-    Route,
     Team,
     Tick,
 )
 from currantspur.tasks import AdmissionTask, Journal
+from tests.routes import make_route
 from tests.virtual import VirtualClock
 
 
@@ -20,21 +19,8 @@
     def write(self, kind, fields) -> None:
         """Take a line."""
 
-
-def make_route(name: str, **more) -> Route:
-    return Route(
-        **{
-            'name': name,
-            'host': 'h',
-            'prefix': f'/{name}/',
-            'parts': (Part(service='s', weight=1),),
-            'is_idempotent': True,
-            'timeout_s': 2.0,
-            'goal_s': 0.1,
-            'tries': 1,
-            **more,
-        }
-    )
+    def count(self, kind, outcome) -> None:
+        """Count nothing."""
 
 
 CONFIGURATION = Configuration(
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -4,9 +4,7 @@
 
 from currantspur.decisions.nearness import Nearness
 from currantspur.messages import (
-    Part,
     Refusal,
-    Route,
     Target,
     TargetLoad,
     TargetRelease,
@@ -16,20 +14,12 @@
 from currantspur.messages.limits import FleetLimits
 from currantspur.tasks import Dispatcher, Journal
 from currantspur.tasks.mailbox import Letter
+from tests.routes import make_route
 from tests.test_admission import NoSink
 from tests.virtual import VirtualClock
 
 REGIONS = {'n1': 'n', 's1': 's'}
-ROUTE = Route(
-    name='r',
-    host='h',
-    prefix='/',
-    parts=(Part(service='s', weight=1),),
-    is_idempotent=True,
-    timeout_s=2.0,
-    goal_s=0.3,
-    tries=2,
-)
+ROUTE = make_route()
 
 
 def make_dispatcher(*zones, **limits):
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -5,8 +5,9 @@
 import pytest
 
 from currantspur.errors import HistoryLostError, StoreAwayError
+from currantspur.messages.relays import Reading
 from currantspur.pipelines.filter import Filter
-from currantspur.tasks import Feed, Journal, Mailbox, Reading, Store
+from currantspur.tasks import Feed, Journal, Mailbox, Store
 from currantspur.tasks.feed import BEHIND_S, FOLLOW_S
 from tests.test_admission import NoSink
 from tests.virtual import VirtualClock, settle
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,5 +1,6 @@
 import asyncio
 import os
+from collections import Counter
 
 import orjson
 import pytest
@@ -19,10 +20,14 @@
 class Lines:
     def __init__(self):
         self.kinds = []
+        self.counted = Counter()
 
     def write(self, kind, fields):
         self.kinds.append((kind, fields))
 
+    def count(self, kind, outcome):
+        self.counted[kind, outcome] += 1
+
 
 @pytest.mark.parametrize(
     ('failures', 'successes', 'kept'),
@@ -42,6 +47,7 @@
     for _ in range(failures):
         journal.note_failure('refused')
     assert len(sink.kinds) == kept
+    assert sink.counted.total() == failures + successes
     clock.at = 1.0
     journal.note_failure('refused')
     omitted = [fields for kind, fields in sink.kinds if kind == 'omitted']
@@ -54,7 +60,7 @@
     reading, writing = os.pipe()
     metrics = Metrics()
     open_log(NonBlockingOutput(writing, metrics))
-    lines = JsonLines(instance='entry-1', clock=VirtualClock())
+    lines = JsonLines(instance='entry-1', clock=VirtualClock(), metrics=metrics)
     began = asyncio.get_running_loop().time()
     for number in range(WAITING_LIMIT * 3):
         lines.write('refused', {'request': f'{number:040}'})
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,25 +6,17 @@
 from currantspur.decisions.nearness import Nearness
 from currantspur.decisions.shift import ShiftCap
 from currantspur.decisions.target_state import TargetState
-from currantspur.messages import Part, Route, Target, TargetLoad, TargetRequest
+from currantspur.messages import Target, TargetLoad, TargetRequest
 from currantspur.pipelines.placement import (
     PlacementState,
     list_eligible,
     place,
 )
+from tests.routes import make_route
 
 SIX = ('n1', 'n1', 'n1', 'n1', 'n1', 'n1')
 REGIONS = {'n1': 'n', 'n2': 'n', 's1': 's'}
-ROUTE = Route(
-    name='r',
-    host='h',
-    prefix='/',
-    parts=(Part(service='s', weight=1),),
-    is_idempotent=True,
-    timeout_s=2.0,
-    goal_s=0.3,
-    tries=2,
-)
+ROUTE = make_route()
 
 
 def make_state(*zones: str, at: float = 0.0, **more) -> PlacementState:
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -6,10 +6,10 @@
 from currantspur.decisions.relays import DIRECT_SIZE, order_sources
 from currantspur.errors import HistoryLostError, StoreAwayError
 from currantspur.messages import FleetView, Instance, Rows
-from currantspur.messages.relays import RowsRequest
+from currantspur.messages.relays import Reading, RowsRequest
 from currantspur.standins import Fleet
 from currantspur.standins.fleet import find_address, wait_until
-from currantspur.tasks import Reading, RelayDesk, RelayPort, Sources, Store
+from currantspur.tasks import RelayDesk, RelayPort, Sources, Store
 from currantspur.tasks.sources import AVOID_S
 from currantspur.wire.peers import JsonInstances
 from tests.virtual import VirtualClock
@@ -121,7 +121,7 @@
     )
     await asyncio.sleep(0)
     desk.receive(desk.mailbox.drain())
-    assert not (await asked).is_known
+    assert await asked is None
 
 
 class Named(Store, RelayPort):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,27 +1,13 @@
 import pytest
 
 from currantspur.decisions.routing import RouteTable
-from currantspur.messages import Part, Route
-
-
-def make_route(name: str, host: str, prefix: str) -> Route:
-    return Route(
-        name=name,
-        host=host,
-        prefix=prefix,
-        parts=(Part(service='s', weight=1),),
-        is_idempotent=True,
-        timeout_s=1.0,
-        goal_s=0.1,
-        tries=1,
-    )
-
+from tests.routes import make_route
 
 ROUTES = (
-    make_route('short', 'a.example', '/x/'),
-    make_route('long', 'a.example', '/x/y/'),
-    make_route('other', 'b.example', '/x/'),
-    make_route('all', 'c.example', '/'),
+    make_route('short', host='a.example', prefix='/x/'),
+    make_route('long', host='a.example', prefix='/x/y/'),
+    make_route('other', host='b.example', prefix='/x/'),
+    make_route('all', host='c.example', prefix='/'),
 )
 
 
--- a/tests/test_splitting.py
+++ b/tests/test_splitting.py
@@ -4,21 +4,15 @@
 
 from currantspur.decisions.splitting import Splitter
 from currantspur.messages import Part, Route
+from tests.routes import make_route
 
 
-def make_route(**weights: float) -> Route:
-    return Route(
-        name='split',
-        host='h',
-        prefix='/',
+def make_split(**weights: float) -> Route:
+    return make_route(
         parts=tuple(
             Part(service=name, weight=weight)
             for name, weight in weights.items()
         ),
-        is_idempotent=True,
-        timeout_s=1.0,
-        goal_s=0.1,
-        tries=1,
     )
 
 
@@ -36,7 +30,7 @@
 )
 def test_each_part_has_its_share(weights, requests, most_off):
     splitter = Splitter()
-    route = make_route(**weights)
+    route = make_split(**weights)
     counts = Counter(splitter.pick(route) for _ in range(requests))
     total = sum(weights.values())
     for name, weight in weights.items():
@@ -46,6 +40,6 @@
 def test_new_weights_hold_at_once():
     splitter = Splitter()
     for _ in range(11):
-        splitter.pick(make_route(a=90, b=10))
-    counts = Counter(splitter.pick(make_route(a=0, b=1)) for _ in range(9))
+        splitter.pick(make_split(a=90, b=10))
+    counts = Counter(splitter.pick(make_split(a=0, b=1)) for _ in range(9))
     assert counts == {'b': 9}
