Log why no further target was tried

Change: the refused line has no_other with the reason. Before: the new row fails; after: 38 tests of the listener pass.

--- a/src/currantspur/tasks/attempts.py
+++ b/src/currantspur/tasks/attempts.py
@@ -38,6 +38,7 @@
         'answer',
         'body',
         'failure',
+        'no_other',
         'outgoing',
         'passage',
         'sends',
@@ -59,6 +60,8 @@
         self.tries = 0
         self.tried: frozenset[str] = frozenset()
         self.failure: Refusal | None = None
+        # Why no further target was given, where that ended it.
+        self.no_other: str | None = None
         self.answer: AnswerHead | None = None
         self.was_sent = False
 
--- a/src/currantspur/tasks/carrier.py
+++ b/src/currantspur/tasks/carrier.py
@@ -102,6 +102,7 @@
         while may_go_on:
             assignment = await self.dispatcher.ask(attempt.describe())
             if isinstance(assignment, Refusal):
+                attempt.no_other = assignment.detail
                 yield attempt.ending or assignment
                 return
             async with aclosing(self._use(attempt, assignment)) as parts:
@@ -192,6 +193,7 @@
             route=passage.route.name if passage.route else None,
             team=passage.team,
             tries=attempt.tries,
+            no_other=attempt.no_other,
             after_s=round(self.clock.now() - passage.arrival.at, 4),
             version=passage.version,
         )
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -119,6 +119,8 @@
         status, _, body = await call(session, daemon, path)
         assert status == {True: repeated, False: once}[is_idempotent]
         assert status != 200 or body == BODY
+        refused = fleet.sinks['entry-0'].find('refused')
+        assert bool(refused) is (status in {502, 503, 504})
         counts = [len(one.arrivals) for one in fleet.targets.values()]
         may_repeat = is_idempotent or isinstance(manner, Shedding)
         assert sum(counts) == {True: arrivals, False: 1}[may_repeat]
@@ -148,6 +150,14 @@
         assert float(headers['Retry-After']) > 0
 
 
+async def test_the_log_says_why_no_other_was_tried():
+    async with open_fleet(targets=('north-1',)) as (fleet, session):
+        fleet.targets['target-0'].manner = Shedding()
+        await call(session, first(fleet.daemons))
+        refused = fleet.sinks['entry-0'].find('refused')
+        assert refused[0]['no_other'] == 'no target may run it'
+
+
 async def test_a_caller_that_leaves_ends_the_work():
     async with open_fleet(targets=()) as (fleet, session):
         target = await fleet.open_target('slow', 'north-1', Silent())
