--- a/src/currantspur/cli/__init__.py
+++ b/src/currantspur/cli/__init__.py
@@ -1,6 +1,20 @@
 """Offer the command line: one module for each group of commands."""
 
-from currantspur.cli import checking, daemons, demonstrating, explaining
+from currantspur.cli import (
+    checking,
+    daemons,
+    demonstrating,
+    experimenting,
+    explaining,
+)
 from currantspur.cli.application import app, main
 
-__all__ = ('app', 'checking', 'daemons', 'demonstrating', 'explaining', 'main')
+__all__ = (
+    'app',
+    'checking',
+    'daemons',
+    'demonstrating',
+    'experimenting',
+    'explaining',
+    'main',
+)
--- /dev/null
+++ b/src/currantspur/cli/experimenting.py
@@ -0,0 +1,27 @@
+"""Compare policies on modelled targets."""
+
+import sys
+
+from currantspur.cli.application import app
+from currantspur.model import POLICIES, Outcome, Scenario, play
+
+
+@app.command
+def experiment(
+    *, per_s: float = 33.0, seconds: float = 30.0, seed: int = 1
+) -> None:
+    """Print what each policy gives the callers of each region."""
+    scenario = Scenario(per_s=per_s, seconds=seconds, seed=seed)
+    sys.stdout.write('policy | region | asked | in goal | far | refused\n')
+    for name, kind in POLICIES.items():
+        for region, outcome in enumerate(play(scenario, kind)):
+            sys.stdout.write(f'{name} | {region} | {describe(outcome)}\n')
+
+
+def describe(outcome: Outcome) -> str:
+    """Return the counts of a region as shares of what was asked."""
+    shares = ' | '.join(
+        f'{part / max(1, outcome.asked):.3f}'
+        for part in (outcome.in_goal, outcome.far, outcome.refused)
+    )
+    return f'{outcome.asked} | {shares}'
