Type the makers of policies

Cause: mypy refuses an abstract class as the kind of a policy (the commit before was red in lint). Change: a maker of policies has its own type. After: lint green.

--- a/src/currantspur/model/policies.py
+++ b/src/currantspur/model/policies.py
@@ -1,6 +1,7 @@
 """Choose targets in the model: the product's policy and two baselines."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import Final
 
@@ -85,7 +86,9 @@
         return chosen.state.target.name
 
 
-POLICIES: Final = MappingProxyType(
+OpenPolicy = Callable[[Nearness, list[Target]], Policy]
+
+POLICIES: Final[Mapping[str, OpenPolicy]] = MappingProxyType(
     {
         'least outstanding': LeastOutstanding,
         'own region': OwnRegion,
--- a/src/currantspur/model/run.py
+++ b/src/currantspur/model/run.py
@@ -9,7 +9,7 @@
 from currantspur.decisions.nearness import Nearness
 from currantspur.messages import Part, Route, Target, TargetLoad, TargetRequest
 from currantspur.messages.base import Message
-from currantspur.model.policies import Policy
+from currantspur.model.policies import OpenPolicy, Policy
 from currantspur.model.targets import ModelTarget
 
 SERVICE = 'modelled'
@@ -72,14 +72,16 @@
 
     __slots__ = ('ends', 'modelled', 'numbers', 'outcomes', 'policies')
 
-    def __init__(self, scenario: Scenario, kind: type[Policy]) -> None:
+    def __init__(self, scenario: Scenario, open_policy: OpenPolicy) -> None:
         regions = {
             f'z{number}': f'r{number}' for number, _ in _number(scenario)
         }
         targets = list(_list_targets(scenario))
         self.modelled = {one.name: ModelTarget(one) for one in targets}
         self.policies = [
-            kind(Nearness(availability_zone=zone, regions=regions), targets)
+            open_policy(
+                Nearness(availability_zone=zone, regions=regions), targets
+            )
             for zone in regions
         ]
         self.outcomes = [Outcome() for _ in regions]
@@ -144,9 +146,9 @@
         self.object_key = object_key
 
 
-def play(scenario: Scenario, kind: type[Policy]) -> list[Outcome]:
+def play(scenario: Scenario, open_policy: OpenPolicy) -> list[Outcome]:
     """Return the outcome of each region under a policy."""
-    game = Game(scenario, kind)
+    game = Game(scenario, open_policy)
     for arrival in _list_arrivals(scenario):
         game.settle(arrival.at)
         game.serve(scenario, arrival)
