Give the target back when a caller leaves as it is assigned

Cause: a request that was cancelled between the dispatcher's answer and its own next step never released its target, which then seemed busier by one for ever. Change: the carrier releases an assignment that it was given while being cancelled. Before: the new row fails (no release). After: 41 tests of carrier and listener pass.

--- a/src/currantspur/tasks/carrier.py
+++ b/src/currantspur/tasks/carrier.py
@@ -1,5 +1,6 @@
 """Carry a request from admission to a target and its answer back."""
 
+import asyncio
 from collections.abc import AsyncGenerator, Generator
 from contextlib import aclosing, contextmanager
 from typing import Any, Final
@@ -23,7 +24,7 @@
 from currantspur.tasks.attempts import Attempt, Held, judge_error
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.journal import Journal
-from currantspur.tasks.mailbox import Mailbox
+from currantspur.tasks.mailbox import Letter, Mailbox
 from currantspur.tasks.ports import BodySource, TargetPort
 from currantspur.tasks.tracing import NoTracer, Tracer
 
@@ -100,7 +101,7 @@
     async def _try_targets(self, attempt: Attempt) -> AsyncGenerator[Part]:
         may_go_on = True
         while may_go_on:
-            assignment = await self.dispatcher.ask(attempt.describe())
+            assignment = await self._take_target(attempt)
             if isinstance(assignment, Refusal):
                 attempt.no_other = assignment.detail
                 yield attempt.ending or assignment
@@ -112,6 +113,18 @@
         if attempt.ending is not None:
             yield attempt.ending
 
+    async def _take_target(self, attempt: Attempt) -> Assignment | Refusal:
+        reply = asyncio.get_running_loop().create_future()
+        self.dispatcher.put(Letter(attempt.describe(), reply))
+        try:
+            given: Assignment | Refusal = await reply
+        except asyncio.CancelledError:
+            # The target may have been given while the caller left.
+            if not reply.cancelled() and isinstance(reply.result(), Assignment):
+                self._release(reply.result(), Held(), None)
+            raise
+        return given
+
     async def _use(
         self, attempt: Attempt, assignment: Assignment
     ) -> AsyncGenerator[AnswerHead | AnswerChunk]:
@@ -150,8 +163,9 @@
             self._note_exchange(attempt, assignment, held)
 
     def _release(self, assignment: Assignment, held: Held, span: Any) -> None:
-        name = assignment.target.name
-        self.tracer.end(span, target=name, outcome=held.outcome)
+        if span is not None:
+            name = assignment.target.name
+            self.tracer.end(span, target=name, outcome=held.outcome)
         self.dispatcher.post(
             TargetRelease(
                 assignment=assignment, outcome=held.outcome, load=held.load
