Use the field's terms: heartbeat, shutdown, warm

Cause: pulses, departures and targets that were taught objects were words of our own. Change: names, module headers and pages say heartbeat, graceful shutdown, warm-up and warm; the relay of rows, the result of an exchange and the behaviour of stand-ins are named after what they are. A comment gave a reason that no longer held.

--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -5,7 +5,6 @@
 
 from currantspur.decisions.nearness import Nearness
 from currantspur.decisions.relays import order_sources
-from currantspur.departure import Departure
 from currantspur.errors import ListenError
 from currantspur.jobs import Jobs
 from currantspur.messages import FleetView, Instance
@@ -17,6 +16,7 @@
 )
 from currantspur.platform.names import OPERATOR_TABLE, TARGET_TABLE
 from currantspur.settings import DaemonSettings
+from currantspur.shutdown import Shutdown
 from currantspur.tasks import (
     AdmissionTask,
     Carrier,
@@ -27,7 +27,7 @@
     LineSink,
     Membership,
     Registrar,
-    RelayDesk,
+    RowRelay,
     Sources,
     SystemClock,
     Task,
@@ -50,7 +50,6 @@
     __slots__ = (
         'admission',
         'clock',
-        'desk',
         'dispatcher',
         'feeds',
         'jobs',
@@ -60,6 +59,7 @@
         'metrics',
         'random',
         'registrar',
+        'row_relay',
         'servers',
         'settings',
         'store',
@@ -85,7 +85,7 @@
             relays=HttpRelays(),
             clock=self.clock,
         )
-        self.desk = RelayDesk(clock=self.clock)
+        self.row_relay = RowRelay(clock=self.clock)
         self.targets = HttpTargets(PLATFORM_NAMES)
         self.admission = AdmissionTask(
             clock=self.clock, instance=settings.instance, journal=self.journal
@@ -148,14 +148,14 @@
 
     async def leave(self) -> None:
         """Leave the answers, wait out caches and requests, and stop."""
-        departure = Departure(
+        shutdown = Shutdown(
             listener=self.listener,
             membership=self.membership.mailbox,
             clock=self.clock,
             journal=self.journal,
             grace_s=self.settings.limits.grace_s,
         )
-        await departure.run(self.servers[0], self.registrar.leave)
+        await shutdown.run(self.servers[0], self.registrar.leave)
         await self._end()
 
     async def stop(self) -> None:
@@ -189,7 +189,7 @@
             (directory.answer, settings.directory),
             (directory.answer, settings.ready),
             (self.metrics.show, settings.metrics),
-            (RelayListener(self.desk.mailbox).answer, settings.peer),
+            (RelayListener(self.row_relay.mailbox).answer, settings.peer),
         )
         for handler, address in served:
             self.servers.append(await open_server(handler, address))
@@ -213,7 +213,7 @@
         yield self.admission
         yield self.dispatcher
         yield self.membership
-        yield self.desk
+        yield self.row_relay
 
     def _open_feeds(self) -> dict[str, Feed]:
         admission, dispatcher = self.admission.mailbox, self.dispatcher.mailbox
@@ -223,7 +223,7 @@
                 store=self.store,
                 decoder=OperatorRows(),
                 readers=(admission, dispatcher),
-                relay=self.desk.mailbox,
+                relay=self.row_relay.mailbox,
                 clock=self.clock,
                 journal=self.journal,
                 random=self.random,
@@ -233,7 +233,7 @@
                 store=self.store,
                 decoder=TargetRows(),
                 readers=(dispatcher,),
-                relay=self.desk.mailbox,
+                relay=self.row_relay.mailbox,
                 clock=self.clock,
                 journal=self.journal,
                 random=self.random,
--- a/src/currantspur/decisions/liveness.py
+++ b/src/currantspur/decisions/liveness.py
@@ -1,67 +1,67 @@
-"""Tell which instances live from the pulses that they send."""
+"""Tell which instances live from the heartbeats that they send."""
 
 from collections.abc import Iterable, Mapping
 
-from currantspur.messages import FleetView, Instance, Pulse
+from currantspur.messages import FleetView, Heartbeat, Instance
 
-# Three pulses may be lost before an instance leaves the answers to callers.
+# Three heartbeats may be lost before an instance leaves the answers to callers.
 SILENT_S = 3.2
 # A silent instance may be cut off and still serve callers: its part of the
 # limits is kept for it this long.
 FORGOTTEN_S = 30.0
 
 
-class Sight:
-    """Hold the newest pulse of an instance and when it came."""
+class Sighting:
+    """Hold the newest heartbeat of an instance and when it came."""
 
-    __slots__ = ('at', 'former_life', 'pulse')
+    __slots__ = ('at', 'former_life', 'heartbeat')
 
     def __init__(
-        self, pulse: Pulse, at: float, *, former_life: int | None = None
+        self, heartbeat: Heartbeat, at: float, *, former_life: int | None = None
     ) -> None:
-        """Take the life before this one: its late pulses count no more."""
-        self.pulse = pulse
+        """Take the life before this one: its late heartbeats count no more."""
+        self.heartbeat = heartbeat
         self.at = at
         self.former_life = former_life
 
-    def is_before(self, pulse: Pulse) -> bool:
-        """Tell whether a pulse was sent after the newest one."""
-        if pulse.life == self.pulse.life:
-            return pulse.number > self.pulse.number
-        return pulse.life != self.former_life
+    def is_before(self, heartbeat: Heartbeat) -> bool:
+        """Tell whether a heartbeat was sent after the newest one."""
+        if heartbeat.life == self.heartbeat.life:
+            return heartbeat.number > self.heartbeat.number
+        return heartbeat.life != self.former_life
 
 
 class Liveness:
     """Keep what peers said last; this instance always lives."""
 
-    __slots__ = ('own', 'sights')
+    __slots__ = ('own', 'sightings')
 
-    def __init__(self, own: Pulse) -> None:
+    def __init__(self, own: Heartbeat) -> None:
         self.own = own
-        self.sights: dict[str, Sight] = {}
+        self.sightings: dict[str, Sighting] = {}
 
-    def note(self, pulse: Pulse, at: float) -> bool:
-        """Take a pulse; tell whether it changes who is known."""
-        name = pulse.instance.name
+    def note(self, heartbeat: Heartbeat, at: float) -> bool:
+        """Take a heartbeat; tell whether it changes who is known."""
+        name = heartbeat.instance.name
         if name == self.own.instance.name:
             return False
-        known = self.sights.get(name)
+        known = self.sightings.get(name)
         if known is None:
-            self.sights[name] = Sight(pulse, at)
+            self.sightings[name] = Sighting(heartbeat, at)
             return True
-        if not known.is_before(pulse):
+        if not known.is_before(heartbeat):
             return False
         former = known.former_life
-        if pulse.life != known.pulse.life:
-            former = known.pulse.life
-        self.sights[name] = Sight(pulse, at, former_life=former)
-        return _takes_callers(known.pulse) != _takes_callers(pulse)
+        if heartbeat.life != known.heartbeat.life:
+            former = known.heartbeat.life
+        self.sightings[name] = Sighting(heartbeat, at, former_life=former)
+        return _takes_callers(known.heartbeat) != _takes_callers(heartbeat)
 
     def list_peers(self, known: Iterable[Instance]) -> list[Instance]:
-        """Return everyone to whom pulses go."""
+        """Return everyone to whom heartbeats go."""
         peers = {one.name: one for one in known}
-        for name, sight in self.sights.items():
-            peers[name] = sight.pulse.instance
+        for name, sighting in self.sightings.items():
+            peers[name] = sighting.heartbeat.instance
         peers.pop(self.own.instance.name, None)
         return list(peers.values())
 
@@ -72,12 +72,15 @@
         demand: dict[str, Mapping[str, float]] = {
             self.own.instance.name: self.own.demand
         }
-        for name, sight in self.sights.items():
-            if sight.pulse.is_leaving and at - sight.at > SILENT_S:
+        for name, sighting in self.sightings.items():
+            if sighting.heartbeat.is_leaving and at - sighting.at > SILENT_S:
                 continue
-            demand[name] = sight.pulse.demand
-            if _takes_callers(sight.pulse) and at - sight.at <= SILENT_S:
-                live.append(sight.pulse.instance)
+            demand[name] = sighting.heartbeat.demand
+            if (
+                _takes_callers(sighting.heartbeat)
+                and at - sighting.at <= SILENT_S
+            ):
+                live.append(sighting.heartbeat.instance)
         return FleetView(
             live=tuple(live), size=len(demand), demand=demand, at=at
         )
@@ -85,12 +88,12 @@
     def _forget(self, at: float) -> None:
         gone = [
             name
-            for name, sight in self.sights.items()
-            if at - sight.at > FORGOTTEN_S
+            for name, sighting in self.sightings.items()
+            if at - sighting.at > FORGOTTEN_S
         ]
         for name in gone:
-            self.sights.pop(name)
+            self.sightings.pop(name)
 
 
-def _takes_callers(pulse: Pulse) -> bool:
-    return pulse.is_ready and not pulse.is_leaving
+def _takes_callers(heartbeat: Heartbeat) -> bool:
+    return heartbeat.is_ready and not heartbeat.is_leaving
--- a/src/currantspur/decisions/placement.py
+++ b/src/currantspur/decisions/placement.py
@@ -9,15 +9,14 @@
 # Traffic between zones and regions is paid for: as if it took this longer.
 ZONE_PRICE_S = 0.02
 REGION_PRICE_S = 0.1
-# The work of a target that learns an object is also time that others wait.
-LEARNING_PRICE = 0.5
+# A target that is not warm works longer, and others wait for it meanwhile.
+WARMUP_PRICE = 0.5
 # The next target in the order of an object is this much of its work dearer,
-# so that all instances teach an object to the same targets.
+# so that all instances warm up the same targets for an object.
 RANK_PRICE = 0.15
-# A recent failure costs as much as this many times the goal: more than to
-# teach the object to another target.
+# A recent failure costs as much as this many times the goal.
 TROUBLE_PRICE = 1.0
-# A target that joined is cheaper than one that knows the object, once.
+# A newcomer is cheaper than a target that is warm, once.
 JOINED_PRICE = 0.5
 # A target queues a few times what it runs; beyond that it rejects.
 QUEUE_FACTOR = 4.0
@@ -57,7 +56,7 @@
     def estimate(
         self, state: TargetState, request: TargetRequest, at: float
     ) -> Candidate:
-        """Return the load of a target and whether it knows the object."""
+        """Return the load of a target and whether it is warm."""
         candidate = Candidate(state)
         candidate.busy = state.busy(at)
         candidate.is_warm = request.object_key in state.warm
@@ -76,23 +75,23 @@
         state = candidate.state
         slots = state.target.slots
         slowness = state.slowness(at)
-        # All instances teach an object to the first in its order, so that one
-        # probably knows it, also in a region where this one sent nothing yet.
-        knows = candidate.is_warm or rank == 0
-        work_s = times.expect(is_warm=knows) * slowness
+        # All instances send an object to the first in its order, so that one is
+        # probably warm, also in a region where this one sent nothing yet.
+        is_warm = candidate.is_warm or rank == 0
+        work_s = times.expect(is_warm=is_warm) * slowness
         turns = max(0.0, candidate.busy - slots + 1) / slots
         wait_s = turns * times.warm_s * slowness
         trip_s = self.nearness.trip_s(state.target.availability_zone)
         candidate.expected_s = trip_s + wait_s + work_s
         trouble_s = state.trouble(at) * TROUBLE_PRICE * request.route.goal_s
-        may_learn = candidate.is_free and trip_s < REGION_TRIP_S
-        if may_learn and state.is_untaught(at):
-            # It joined and knows nothing: its turn to learn something.
+        may_warm_up = candidate.is_free and trip_s < REGION_TRIP_S
+        if may_warm_up and state.needs_warmup(at):
+            # A newcomer without work would stay cold for ever.
             candidate.cost = JOINED_PRICE * times.warm_s + trouble_s
             return
         candidate.cost = (
             candidate.expected_s
-            + work_s * LEARNING_PRICE * (not knows)
+            + work_s * WARMUP_PRICE * (not is_warm)
             + self._price_of_way(state)
             + rank * RANK_PRICE * times.cold_s
             + trouble_s
--- a/src/currantspur/decisions/target_state.py
+++ b/src/currantspur/decisions/target_state.py
@@ -10,7 +10,7 @@
 # A failing or slow target is tried again after a few of these.
 TROUBLE_HALF_S = 3.0
 # A target that joined is given its first requests this far apart.
-TEACH_S = 1.0
+WARMUP_SPACING_S = 1.0
 PACE_GAIN = 0.3
 SLOWEST_PACE = 20.0
 FASTEST_PACE = 0.5
@@ -34,8 +34,8 @@
         'pace_at',
         'pacer',
         'target',
-        'taught_at',
         'warm',
+        'warmup_at',
     )
 
     def __init__(
@@ -53,7 +53,7 @@
         self.pace_at = at
         self.cold_until = at + target.cold_s
         self.pacer: Bucket | None = None
-        self.taught_at = float('-inf')
+        self.warmup_at = float('-inf')
         self.warm: OrderedDict[str, None] = OrderedDict()
 
     def learn(self, target: Target, at: float) -> None:
@@ -61,16 +61,16 @@
         if target.born_ms != self.target.born_ms:
             self.warm.clear()
         if target.cold_s != self.target.cold_s:
-            self.chill(target.cold_s, at)
+            self.mark_cold(target.cold_s, at)
         self.target = target
 
-    def chill(self, seconds: float, at: float) -> None:
+    def mark_cold(self, seconds: float, at: float) -> None:
         """Take it for cold for some seconds."""
         self.cold_until = max(self.cold_until, at + seconds)
 
-    def is_untaught(self, at: float) -> bool:
+    def needs_warmup(self, at: float) -> bool:
         """Tell whether it joined others and was given nothing lately."""
-        is_due = at - self.taught_at >= TEACH_S
+        is_due = at - self.warmup_at >= WARMUP_SPACING_S
         return self.has_joined and is_due and not self.warm
 
     def is_cold(self, at: float) -> bool:
--- a/src/currantspur/demo.py
+++ b/src/currantspur/demo.py
@@ -66,13 +66,13 @@
 
 async def goes_round_a_full_target(demo: Demo) -> bool:
     """Pass over a target that rejects, also for work done once."""
-    demo.fleet.targets['target-0'].manner = Shedding()
+    demo.fleet.targets['target-0'].behaviour = Shedding()
     return await demo.call(f'{ONCE_PREFIX}1') == HTTPStatus.OK
 
 
 async def repeats_what_may_run_twice(demo: Demo) -> bool:
     """Repeat an idempotent request after a reset."""
-    demo.fleet.targets['target-0'].manner = Resetting()
+    demo.fleet.targets['target-0'].behaviour = Resetting()
     return await demo.call(f'{PREFIX}2') == HTTPStatus.OK
 
 
--- a/src/currantspur/messages/belief.py
+++ b/src/currantspur/messages/belief.py
@@ -117,7 +117,7 @@
         self.peer = peer
 
 
-class Pulse(Message):
+class Heartbeat(Message):
     """Tell peers that an instance lives and what each team asks of it."""
 
     __slots__ = (
--- a/src/currantspur/messages/traffic.py
+++ b/src/currantspur/messages/traffic.py
@@ -188,7 +188,7 @@
         is_warm: bool,
         is_free: bool,
     ) -> None:
-        """Take whether it knows the object and had a free slot."""
+        """Take whether it was warm for the object and had a free slot."""
         self.request = request
         self.target = target
         self.taken_at = taken_at
--- a/src/currantspur/pipelines/placement.py
+++ b/src/currantspur/pipelines/placement.py
@@ -172,23 +172,23 @@
     states = paced(list_eligible(request, state), state, at)
     candidates = with_room(estimated(states, request, state, at))
     known = list(priced(candidates, request, state, at))
-    wished = find_cheapest(known)
-    if wished is None:
+    preferred = find_cheapest(known)
+    if preferred is None:
         return None
-    is_far = state.shift.decide(at, wishes_far=state.is_far(wished))
+    is_far = state.shift.decide(at, prefers_far=state.is_far(preferred))
     return find_cheapest(
         one for one in known if state.is_far(one) is is_far
-    ) or _fall_back(wished, request, state)
+    ) or _fall_back(preferred, request, state)
 
 
 def _fall_back(
-    wished: Candidate, request: TargetRequest, state: PlacementState
+    preferred: Candidate, request: TargetRequest, state: PlacementState
 ) -> Candidate | None:
-    """Return what was wished unless the own region is only full."""
+    """Return the preferred target unless the own region is only full."""
     has_near = any(
         not state.nearness.is_far(one.target.availability_zone)
         for one in list_eligible(request, state)
     )
-    if has_near and state.is_far(wished):
+    if has_near and state.is_far(preferred):
         return None
-    return wished
+    return preferred
--- a/src/currantspur/departure.py
+++ b/src/currantspur/shutdown.py
@@ -17,7 +17,7 @@
 RESERVE_S = 0.5
 
 
-class Departure:
+class Shutdown:
     """Leave the answers, wait out caches and requests, and close."""
 
     __slots__ = ('clock', 'grace_s', 'journal', 'listener', 'membership')
--- a/src/currantspur/standins/fleet.py
+++ b/src/currantspur/standins/fleet.py
@@ -14,7 +14,7 @@
 from currantspur.messages.limits import FleetLimits
 from currantspur.settings import DaemonSettings
 from currantspur.standins.store import StoreStandin
-from currantspur.standins.target import SOUND, Manner, TargetStandin
+from currantspur.standins.target import SOUND, Behaviour, TargetStandin
 from currantspur.tasks import LineSink
 
 HOST: Final = 'service.example'
@@ -107,11 +107,11 @@
         self.store.put('op', 'config', plain)
 
     async def open_target(
-        self, name: str, zone: str, manner: Manner = SOUND, **options: Any
+        self, name: str, zone: str, behaviour: Behaviour = SOUND, **options: Any
     ) -> TargetStandin:
         """Start a target and list it."""
         target = TargetStandin(
-            name=name, address=find_address(), manner=manner, **options
+            name=name, address=find_address(), behaviour=behaviour, **options
         )
         await target.start()
         self.stack.push_async_callback(target.close)
--- a/src/currantspur/standins/target.py
+++ b/src/currantspur/standins/target.py
@@ -52,7 +52,7 @@
         self.writer.transport.abort()
 
 
-class Manner(ABC):
+class Behaviour(ABC):
     """Say how a target answers; the ways vary by class."""
 
     __slots__ = ()
@@ -62,7 +62,7 @@
         """Answer; tell whether the connection goes on."""
 
 
-class Sound(Manner):
+class Sound(Behaviour):
     """Answer as a target should."""
 
     __slots__ = ()
@@ -83,7 +83,7 @@
         return True
 
 
-class Failing(Manner):
+class Failing(Behaviour):
     """Run each request and answer that it failed."""
 
     __slots__ = ()
@@ -95,7 +95,7 @@
         return True
 
 
-class Shedding(Manner):
+class Shedding(Behaviour):
     """Reject every request unrun."""
 
     __slots__ = ()
@@ -108,7 +108,7 @@
         return True
 
 
-class Resetting(Manner):
+class Resetting(Behaviour):
     """Run each request and reset the connection."""
 
     __slots__ = ()
@@ -120,7 +120,7 @@
         return False
 
 
-class CuttingShort(Manner):
+class CuttingShort(Behaviour):
     """Announce a longer answer than comes."""
 
     __slots__ = ()
@@ -133,7 +133,7 @@
         return False
 
 
-class Unframed(Manner):
+class Unframed(Behaviour):
     """Answer without a length; the end of the connection ends the body."""
 
     __slots__ = ('is_reset',)
@@ -153,7 +153,7 @@
         return False
 
 
-class Doubling(Manner):
+class Doubling(Behaviour):
     """Answer each request twice; the second answer comes late."""
 
     __slots__ = ()
@@ -169,7 +169,7 @@
         return True
 
 
-class Silent(Manner):
+class Silent(Behaviour):
     """Take requests and never answer."""
 
     __slots__ = ()
@@ -190,7 +190,7 @@
     __slots__ = (
         'address',
         'arrivals',
-        'manner',
+        'behaviour',
         'name',
         'running',
         'server',
@@ -208,14 +208,14 @@
         address: str,
         slots: int = 3,
         work_s: float = 0.02,
-        manner: Manner = SOUND,
+        behaviour: Behaviour = SOUND,
     ) -> None:
         """Take the seconds of work of an object that it does not know."""
         self.name = name
         self.address = address
         self.slots = slots
         self.work_s = work_s
-        self.manner = manner
+        self.behaviour = behaviour
         self.arrivals: list[Exchange] = []
         self.running = asyncio.Semaphore(slots)
         self.waiting = 0
@@ -310,7 +310,7 @@
             writer=writer,
         )
         self.arrivals.append(asked)
-        return await self.manner.answer(self, asked)
+        return await self.behaviour.answer(self, asked)
 
 
 def _split_header(line: str) -> tuple[str, str]:
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -10,12 +10,12 @@
 from currantspur.tasks.membership import Membership
 from currantspur.tasks.ports import (
     BodySource,
-    PulsePort,
+    HeartbeatPort,
     Store,
     TargetPort,
 )
 from currantspur.tasks.registrar import Registrar
-from currantspur.tasks.relay_desk import RelayDesk
+from currantspur.tasks.row_relay import RowRelay
 from currantspur.tasks.sources import RelayPort, Sources
 from currantspur.tasks.task import Task
 
@@ -26,15 +26,15 @@
     'Clock',
     'Dispatcher',
     'Feed',
+    'HeartbeatPort',
     'Journal',
     'Letter',
     'LineSink',
     'Mailbox',
     'Membership',
-    'PulsePort',
     'Registrar',
-    'RelayDesk',
     'RelayPort',
+    'RowRelay',
     'Sources',
     'Store',
     'SystemClock',
--- a/src/currantspur/tasks/attempts.py
+++ b/src/currantspur/tasks/attempts.py
@@ -124,7 +124,7 @@
         )
 
 
-class Held:
+class ExchangeResult:
     """Hold what came of an exchange so far."""
 
     __slots__ = ('is_answered', 'load', 'outcome', 'status')
--- a/src/currantspur/tasks/carrier.py
+++ b/src/currantspur/tasks/carrier.py
@@ -21,7 +21,7 @@
     Refusal,
     TargetRelease,
 )
-from currantspur.tasks.attempts import Attempt, Held, judge_error
+from currantspur.tasks.attempts import Attempt, ExchangeResult, judge_error
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.mailbox import Letter, Mailbox
@@ -121,14 +121,14 @@
         except asyncio.CancelledError:
             # The target may have been given while the caller left.
             if not reply.cancelled() and isinstance(reply.result(), Assignment):
-                self._release(reply.result(), Held(), None)
+                self._release(reply.result(), ExchangeResult(), None)
             raise
         return given
 
     async def _use(
         self, attempt: Attempt, assignment: Assignment
     ) -> AsyncGenerator[AnswerHead | AnswerChunk]:
-        with self._hold(attempt, assignment) as held:
+        with self._hold(attempt, assignment) as result:
             attempt.failure = None
             left_s = attempt.passage.deadline - self.clock.now()
             sending = self.targets.send(
@@ -141,43 +141,45 @@
             )
             async with aclosing(sending) as parts:
                 async for part in parts:
-                    held.note(part, attempt)
+                    result.note(part, attempt)
                     yield part
 
     @contextmanager
     def _hold(
         self, attempt: Attempt, assignment: Assignment
-    ) -> Generator[Held]:
-        held = Held()
+    ) -> Generator[ExchangeResult]:
+        result = ExchangeResult()
         span = self.tracer.begin('target.request', attempt.span)
         try:
-            yield held
-            held.outcome = 'answered'
+            yield result
+            result.outcome = 'answered'
         except TargetError as error:
-            held.outcome = judge_error(error)
+            result.outcome = judge_error(error)
             attempt.fail(assignment, error)
-            if held.is_answered and not isinstance(error, TargetFailedError):
+            if result.is_answered and not isinstance(error, TargetFailedError):
                 raise
         finally:
-            self._release(assignment, held, span)
-            self._note_exchange(attempt, assignment, held)
+            self._release(assignment, result, span)
+            self._note_exchange(attempt, assignment, result)
 
-    def _release(self, assignment: Assignment, held: Held, span: Any) -> None:
+    def _release(
+        self, assignment: Assignment, result: ExchangeResult, span: Any
+    ) -> None:
         if span is not None:
             name = assignment.target.name
-            self.tracer.end(span, target=name, outcome=held.outcome)
+            self.tracer.end(span, target=name, outcome=result.outcome)
         self.dispatcher.post(
             TargetRelease(
-                assignment=assignment, outcome=held.outcome, load=held.load
+                assignment=assignment, outcome=result.outcome, load=result.load
             )
         )
 
     def _note_exchange(
-        self, attempt: Attempt, assignment: Assignment, held: Held
+        self, attempt: Attempt, assignment: Assignment, result: ExchangeResult
     ) -> None:
         passage = attempt.passage
         write = self.journal.note_failure
-        if held.outcome == 'answered':
+        if result.outcome == 'answered':
             write = self.journal.note_success
         failure = attempt.failure
         write(
@@ -185,8 +187,8 @@
             request=passage.arrival.request_id,
             target=assignment.target.name,
             service=passage.service,
-            outcome=held.outcome,
-            status=held.status,
+            outcome=result.outcome,
+            status=result.status,
             cause=failure.detail if failure else None,
             took_s=round(self.clock.now() - assignment.taken_at, 4),
             expected_s=round(assignment.expected_s, 4),
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -127,7 +127,7 @@
         state.own += 1
         self.placing.shift.note(is_far=self.placing.is_far(chosen))
         if not chosen.is_warm:
-            state.taught_at = now
+            state.warmup_at = now
         if state.is_cold(now):
             open_pacer(state, self.placing, now).spend(now)
         return Assignment(
@@ -186,7 +186,7 @@
         trip_s = self.placing.nearness.trip_s(zone)
         took_s = max(SHORTEST_S, now - assignment.taken_at - trip_s)
         times = self.placing.expect(assignment.request)
-        # Another instance may have taught the object to the target.
+        # Another instance may have warmed up the target.
         is_warm = assignment.is_warm or times.looks_warm(took_s)
         expected_s = times.expect(is_warm=is_warm)
         times.learn(took_s, is_warm=is_warm)
@@ -220,7 +220,7 @@
         cold = {one.name: one.cold_s for one in self.configuration.services}
         for state in self.states.values():
             if state.target.availability_zone in before:
-                state.chill(cold.get(state.target.service, 0.0), now)
+                state.mark_cold(cold.get(state.target.service, 0.0), now)
 
     def _list_targets(self, seen: TargetsSeen) -> None:
         self.lapses.accept(seen)
@@ -266,7 +266,7 @@
         self.placing.size = max(1, view.size)
         for budget in self.budgets.values():
             budget.resize(size=view.size, at=view.at)
-        # Pulses come often enough to notice that a time is over.
+        # Heartbeats come often enough to notice that a time is over.
         if self.lapses.lapsed and self.clock.now() > self.lapses.until:
             self._renew()
 
--- a/src/currantspur/tasks/membership.py
+++ b/src/currantspur/tasks/membership.py
@@ -8,29 +8,29 @@
 from currantspur.decisions.liveness import Liveness
 from currantspur.messages import (
     FleetView,
+    Heartbeat,
     Instance,
     Leaving,
     LookupAnswer,
     LookupQuery,
     Message,
-    Pulse,
     TeamDemand,
     Tick,
 )
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.mailbox import Letter, Mailbox
-from currantspur.tasks.ports import PulsePort
+from currantspur.tasks.ports import HeartbeatPort
 from currantspur.tasks.task import Task
 
 # An instance that dies is out of the answers after four of these.
-PULSE_S = 0.8
+HEARTBEAT_S = 0.8
 # Instances that start together do not send together.
 JITTER = (0.9, 1.1)
 
 
 class Membership(Task):
-    """Send pulses, take those of peers and answer look-ups."""
+    """Send heartbeats, take those of peers and answer look-ups."""
 
     __slots__ = (
         'admission',
@@ -73,21 +73,21 @@
         self.tell_revisions = tell_revisions
         self.is_ready = is_ready
         self.order_sources = order_sources
-        self.port: PulsePort | None = None
+        self.port: HeartbeatPort | None = None
         self.number = 0
         self.known: tuple[Instance, ...] = ()
         self.shown: frozenset[str] = frozenset()
-        self.liveness = Liveness(Pulse(instance=own, life=life, number=0))
+        self.liveness = Liveness(Heartbeat(instance=own, life=life, number=0))
         self.handlers: dict[type[Message], Callable[[Any], Any]] = {
             Leaving: self._leave,
             LookupQuery: self._look_up,
-            Pulse: self._hear,
+            Heartbeat: self._hear,
             TeamDemand: self._tell,
             Tick: self._publish,
         }
 
     def receive(self, letters: Iterable[Letter]) -> None:
-        """Take pulses and answer look-ups."""
+        """Take heartbeats and answer look-ups."""
         for letter in letters:
             letter.answer(self.learn(letter.message))
 
@@ -97,17 +97,17 @@
         return handle(message) if handle else None
 
     async def beat(self, random: Random) -> None:
-        """Send a pulse now and then until cancelled."""
+        """Send a heartbeat now and then until cancelled."""
         while True:
             demand: TeamDemand = await self.admission.ask(Tick())
             self.mailbox.post(demand)
             self.mailbox.post(Tick())
-            await self.clock.sleep(PULSE_S * random.uniform(*JITTER))
+            await self.clock.sleep(HEARTBEAT_S * random.uniform(*JITTER))
 
-    def _hear(self, pulse: Pulse) -> None:
+    def _hear(self, heartbeat: Heartbeat) -> None:
         now = self.clock.now()
-        self.tell_revisions(pulse.revisions, now)
-        if self.liveness.note(pulse, now):
+        self.tell_revisions(heartbeat.revisions, now)
+        if self.liveness.note(heartbeat, now):
             self._publish()
 
     def _look_up(self, query: LookupQuery) -> LookupAnswer:
--- a/src/currantspur/tasks/ports.py
+++ b/src/currantspur/tasks/ports.py
@@ -6,9 +6,9 @@
 from currantspur.messages import (
     AnswerChunk,
     AnswerHead,
+    Heartbeat,
     Instance,
     Outgoing,
-    Pulse,
 )
 from currantspur.messages.relays import Reading
 from currantspur.messages.targets import Target
@@ -66,14 +66,14 @@
         """Close all connections."""
 
 
-class PulsePort(ABC):
-    """Send pulses to peers, without waiting and without answers."""
+class HeartbeatPort(ABC):
+    """Send heartbeats to peers, without waiting and without answers."""
 
     __slots__ = ()
 
     @abstractmethod
-    def send(self, pulse: Pulse, addresses: Iterable[str]) -> None:
-        """Send a pulse to each address; a lost one is not repeated."""
+    def send(self, heartbeat: Heartbeat, addresses: Iterable[str]) -> None:
+        """Send a heartbeat to each address; a lost one is not repeated."""
 
     @abstractmethod
     def close(self) -> None:
--- a/src/currantspur/tasks/registrar.py
+++ b/src/currantspur/tasks/registrar.py
@@ -12,8 +12,8 @@
 
 TABLE = 'instances'
 RETRY_S = 0.5
-# Pulses find instances that join; the list is read again for those whose
-# pulses were all lost.
+# Heartbeats find instances that join; the list is read again for those whose
+# heartbeats were all lost.
 RENEW_S = 20.0
 # Instances that start together do not call together.
 JITTER = (0.6, 1.4)
--- a/src/currantspur/tasks/relay_desk.py
+++ b/src/currantspur/tasks/row_relay.py
@@ -52,7 +52,7 @@
         return changed
 
 
-class RelayDesk(Task):
+class RowRelay(Task):
     """Answer peers at once, or as soon as something changes."""
 
     __slots__ = ('clock', 'known', 'waiting')
--- a/src/currantspur/wire/peers.py
+++ b/src/currantspur/wire/peers.py
@@ -1,4 +1,4 @@
-"""Send pulses to peers in datagrams and encode entries of instances."""
+"""Send heartbeats to peers in datagrams and encode entries of instances."""
 
 import asyncio
 from collections.abc import Iterable, Mapping
@@ -6,10 +6,10 @@
 
 import orjson
 
-from currantspur.messages import Instance, Pulse, fields
+from currantspur.messages import Heartbeat, Instance, fields
 from currantspur.settings.document import split_address
 from currantspur.tasks.mailbox import Mailbox
-from currantspur.tasks.ports import InstanceCodec, PulsePort
+from currantspur.tasks.ports import HeartbeatPort, InstanceCodec
 
 # A larger datagram would be cut into pieces, each of which may be lost.
 DATAGRAM_BYTES = 1400
@@ -35,13 +35,13 @@
             return None
 
 
-class Datagrams(PulsePort, asyncio.DatagramProtocol):
-    """Exchange pulses over UDP; a lost one is followed by another."""
+class Datagrams(HeartbeatPort, asyncio.DatagramProtocol):
+    """Exchange heartbeats over UDP; a lost one is followed by another."""
 
     __slots__ = ('mailbox', 'malformed', 'transport')
 
     def __init__(self, mailbox: Mailbox) -> None:
-        """Take where pulses of peers go."""
+        """Take where heartbeats of peers go."""
         self.mailbox = mailbox
         self.malformed = 0
         self.transport: asyncio.DatagramTransport | None = None
@@ -51,18 +51,18 @@
         self.transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
-        """Pass a pulse on; count what is none."""
-        pulse = decode_pulse(data)
-        if pulse is None:
+        """Pass a heartbeat on; count what is none."""
+        heartbeat = decode_heartbeat(data)
+        if heartbeat is None:
             self.malformed += 1
         else:
-            self.mailbox.post(pulse)
+            self.mailbox.post(heartbeat)
 
-    def send(self, pulse: Pulse, addresses: Iterable[str]) -> None:
-        """Send a pulse to each address; a lost one is not repeated."""
+    def send(self, heartbeat: Heartbeat, addresses: Iterable[str]) -> None:
+        """Send a heartbeat to each address; a lost one is not repeated."""
         if self.transport is None or self.transport.is_closing():
             return
-        datagram = encode_pulse(pulse)
+        datagram = encode_heartbeat(heartbeat)
         for address in addresses:
             self.transport.sendto(datagram, split_address(address))
 
@@ -81,47 +81,47 @@
     return protocol
 
 
-def encode_pulse(pulse: Pulse) -> bytes:
+def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
     """Return a datagram; the smallest demands are left out of a full one."""
     demand = {
         team: round(rate, DEMAND_DIGITS)
         for team, rate in sorted(
-            pulse.demand.items(), key=lambda pair: pair[1], reverse=True
+            heartbeat.demand.items(), key=lambda pair: pair[1], reverse=True
         )
         if rate >= 10**-DEMAND_DIGITS
     }
-    datagram = _dump(pulse, demand)
+    datagram = _dump(heartbeat, demand)
     while demand and len(datagram) > DATAGRAM_BYTES:
         demand.popitem()
-        datagram = _dump(pulse, demand)
+        datagram = _dump(heartbeat, demand)
     return datagram
 
 
-def decode_pulse(datagram: bytes) -> Pulse | None:
-    """Return a pulse, or None for bytes that are none."""
+def decode_heartbeat(datagram: bytes) -> Heartbeat | None:
+    """Return a heartbeat, or None for bytes that are none."""
     try:
-        return _read_pulse(orjson.loads(datagram))
+        return _read_heartbeat(orjson.loads(datagram))
     except MISTAKES:
         return None
 
 
-def _dump(pulse: Pulse, demand: Mapping[str, float]) -> bytes:
+def _dump(heartbeat: Heartbeat, demand: Mapping[str, float]) -> bytes:
     return orjson.dumps(
         {
-            'instance': _list_fields(pulse.instance),
-            'life': pulse.life,
-            'number': pulse.number,
-            'leaving': pulse.is_leaving,
-            'ready': pulse.is_ready,
+            'instance': _list_fields(heartbeat.instance),
+            'life': heartbeat.life,
+            'number': heartbeat.number,
+            'leaving': heartbeat.is_leaving,
+            'ready': heartbeat.is_ready,
             'demand': demand,
-            'revisions': pulse.revisions,
+            'revisions': heartbeat.revisions,
         }
     )
 
 
-def _read_pulse(plain: Any) -> Pulse:
+def _read_heartbeat(plain: Any) -> Heartbeat:
     demand, revisions = plain['demand'], plain['revisions']
-    return Pulse(
+    return Heartbeat(
         instance=_read_instance(plain['instance']),
         life=int(plain['life']),
         number=int(plain['number']),
--- a/src/currantspur/wire/relays.py
+++ b/src/currantspur/wire/relays.py
@@ -29,12 +29,12 @@
 
 
 class RelayListener:
-    """Answer peers from what the desk knows."""
+    """Answer peers from the rows that this instance has."""
 
-    __slots__ = ('desk',)
+    __slots__ = ('row_relay',)
 
-    def __init__(self, desk: Mailbox) -> None:
-        self.desk = desk
+    def __init__(self, row_relay: Mailbox) -> None:
+        self.row_relay = row_relay
 
     async def answer(self, request: web.BaseRequest) -> web.Response:
         """Answer a question for rows; wait for a change where none came."""
@@ -45,7 +45,7 @@
         except (KeyError, ValueError):
             return web.Response(status=HTTPStatus.BAD_REQUEST)
         try:
-            answer = await asyncio.wait_for(self.desk.ask(asked), wait_s)
+            answer = await asyncio.wait_for(self.row_relay.ask(asked), wait_s)
         except TimeoutError:
             # Nothing changed, or nothing is known here at all.
             return web.Response(status=HTTPStatus.NO_CONTENT)
--- a/src/currantspur/wire/server.py
+++ b/src/currantspur/wire/server.py
@@ -11,12 +11,12 @@
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 HEADER_BYTES = 65_536
-# The library would else wait for open requests itself; departure does that.
+# The library would else wait for open requests itself; shutdown does that.
 SHUTDOWN_S = 0.1
 
 
 class HideMalformed(logging.Filter):
-    """Leave out what a malformed request held: it may be a key."""
+    """Leave out what a malformed request result: it may be a key."""
 
     def filter(self, record: logging.LogRecord) -> bool:
         """Keep the record without its exception."""
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -92,7 +92,7 @@
 
 # What the caller gets where one target misbehaves and another is sound, by
 # whether the request may run twice, and how often it arrived in all.
-MANNERS = [
+BEHAVIOURS = [
     (Failing(), 200, 500, 2),
     (Shedding(), 200, 200, 2),
     (Resetting(), 200, 502, 2),
@@ -105,12 +105,14 @@
 
 
 @pytest.mark.parametrize('is_idempotent', [True, False])
-@pytest.mark.parametrize(('manner', 'repeated', 'once', 'arrivals'), MANNERS)
+@pytest.mark.parametrize(
+    ('behaviour', 'repeated', 'once', 'arrivals'), BEHAVIOURS
+)
 async def test_a_target_that_misbehaves(
-    is_idempotent, manner, repeated, once, arrivals
+    is_idempotent, behaviour, repeated, once, arrivals
 ):
     async with open_fleet(targets=()) as (fleet, session):
-        await fleet.open_target('bad', 'north-1', manner)
+        await fleet.open_target('bad', 'north-1', behaviour)
         await fleet.open_target('sound', 'north-2')
         daemon = first(fleet.daemons)
         await wait_until(lambda: len(daemon.dispatcher.states) == 2)
@@ -122,7 +124,7 @@
         refused = fleet.sinks['entry-0'].find('refused')
         assert bool(refused) is (status in {502, 503, 504})
         counts = [len(one.arrivals) for one in fleet.targets.values()]
-        may_repeat = is_idempotent or isinstance(manner, Shedding)
+        may_repeat = is_idempotent or isinstance(behaviour, Shedding)
         assert sum(counts) == {True: arrivals, False: 1}[may_repeat]
         assert counts[0] == 1
 
@@ -152,7 +154,7 @@
 
 async def test_the_log_says_why_no_other_was_tried():
     async with open_fleet(targets=('north-1',)) as (fleet, session):
-        fleet.targets['target-0'].manner = Shedding()
+        fleet.targets['target-0'].behaviour = Shedding()
         await call(session, first(fleet.daemons))
         refused = fleet.sinks['entry-0'].find('refused')
         assert refused[0]['no_other'] == 'no target may run it'
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -2,7 +2,7 @@
 
 from currantspur.decisions.entries import choose_entries
 from currantspur.decisions.liveness import FORGOTTEN_S, SILENT_S, Liveness
-from currantspur.messages import FleetView, Instance, LookupQuery, Pulse
+from currantspur.messages import FleetView, Heartbeat, Instance, LookupQuery
 
 
 def make_instance(name: str, zone: str = 'n1', region: str = 'n') -> Instance:
@@ -15,26 +15,31 @@
     )
 
 
-def make_pulse(name: str, number: int, life: int = 1, **more) -> Pulse:
-    return Pulse(instance=make_instance(name), life=life, number=number, **more)
+def make_heartbeat(name: str, number: int, life: int = 1, **more) -> Heartbeat:
+    return Heartbeat(
+        instance=make_instance(name), life=life, number=number, **more
+    )
 
 
-OWN = make_pulse('own', 0)
+OWN = make_heartbeat('own', 0)
 
 
 @pytest.mark.parametrize(
-    ('pulses', 'at', 'live', 'size'),
+    ('heartbeats', 'at', 'live', 'size'),
     [
         ([], 0, {'own'}, 1),
-        ([(0, make_pulse('b', 1))], SILENT_S, {'own', 'b'}, 2),
+        ([(0, make_heartbeat('b', 1))], SILENT_S, {'own', 'b'}, 2),
         # Silent: no callers any more, but its part of the limits stays.
-        ([(0, make_pulse('b', 1))], SILENT_S + 0.1, {'own'}, 2),
-        ([(0, make_pulse('b', 1))], FORGOTTEN_S + 0.1, {'own'}, 1),
-        ([(0, make_pulse('b', 1, is_leaving=True))], 1, {'own'}, 2),
-        ([(0, make_pulse('b', 1, is_leaving=True))], 4, {'own'}, 1),
-        # A pulse that comes late changes nothing.
+        ([(0, make_heartbeat('b', 1))], SILENT_S + 0.1, {'own'}, 2),
+        ([(0, make_heartbeat('b', 1))], FORGOTTEN_S + 0.1, {'own'}, 1),
+        ([(0, make_heartbeat('b', 1, is_leaving=True))], 1, {'own'}, 2),
+        ([(0, make_heartbeat('b', 1, is_leaving=True))], 4, {'own'}, 1),
+        # A heartbeat that comes late changes nothing.
         (
-            [(0, make_pulse('b', 2, is_leaving=True)), (1, make_pulse('b', 1))],
+            [
+                (0, make_heartbeat('b', 2, is_leaving=True)),
+                (1, make_heartbeat('b', 1)),
+            ],
             1,
             {'own'},
             2,
@@ -42,47 +47,47 @@
         # A new life begins to count anew.
         (
             [
-                (0, make_pulse('b', 9, is_leaving=True)),
-                (1, make_pulse('b', 1, life=2)),
+                (0, make_heartbeat('b', 9, is_leaving=True)),
+                (1, make_heartbeat('b', 1, life=2)),
             ],
             1,
             {'own', 'b'},
             2,
         ),
-        # The last pulse of the life before comes after the new one.
+        # The last heartbeat of the life before comes after the new one.
         (
             [
-                (0, make_pulse('b', 8)),
-                (1, make_pulse('b', 1, life=2)),
-                (1, make_pulse('b', 9, is_leaving=True)),
+                (0, make_heartbeat('b', 8)),
+                (1, make_heartbeat('b', 1, life=2)),
+                (1, make_heartbeat('b', 9, is_leaving=True)),
             ],
             1,
             {'own', 'b'},
             2,
         ),
-        ([(0, make_pulse('own', 7))], 1, {'own'}, 1),
+        ([(0, make_heartbeat('own', 7))], 1, {'own'}, 1),
         # It lives, and has its part of the limits, but takes no callers yet.
-        ([(0, make_pulse('b', 1, is_ready=False))], 1, {'own'}, 2),
+        ([(0, make_heartbeat('b', 1, is_ready=False))], 1, {'own'}, 2),
     ],
 )
-def test_who_lives(pulses, at, live, size):
-    liveness = Liveness(make_pulse('own', 0))
-    for heard_at, pulse in pulses:
-        liveness.note(pulse, heard_at)
+def test_who_lives(heartbeats, at, live, size):
+    liveness = Liveness(make_heartbeat('own', 0))
+    for heard_at, heartbeat in heartbeats:
+        liveness.note(heartbeat, heard_at)
     view = liveness.view(at)
     assert {one.name for one in view.live} == live
     assert view.size == size
 
 
 def test_a_leaving_instance_names_itself_no_more():
-    liveness = Liveness(make_pulse('own', 0, is_leaving=True))
-    liveness.note(make_pulse('b', 1), 0)
+    liveness = Liveness(make_heartbeat('own', 0, is_leaving=True))
+    liveness.note(make_heartbeat('b', 1), 0)
     assert [one.name for one in liveness.view(0).live] == ['b']
 
 
-def test_pulses_go_to_all_known_but_oneself():
-    liveness = Liveness(make_pulse('own', 0))
-    liveness.note(make_pulse('b', 1), 0)
+def test_heartbeats_go_to_all_known_but_oneself():
+    liveness = Liveness(make_heartbeat('own', 0))
+    liveness.note(make_heartbeat('b', 1), 0)
     known = [make_instance('own'), make_instance('c'), make_instance('b')]
     names = sorted(peer.name for peer in liveness.list_peers(known))
     assert names == ['b', 'c']
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,12 +2,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from currantspur.messages import Instance, Pulse
+from currantspur.messages import Heartbeat, Instance
 from currantspur.wire.peers import (
     DATAGRAM_BYTES,
     JsonInstances,
-    decode_pulse,
-    encode_pulse,
+    decode_heartbeat,
+    encode_heartbeat,
 )
 
 INSTANCE = Instance(
@@ -20,11 +20,11 @@
 
 
 @pytest.mark.parametrize(
-    'pulse',
+    'heartbeat',
     [
-        Pulse(instance=INSTANCE, life=1, number=2),
-        Pulse(instance=INSTANCE, life=2**53 - 1, number=2, is_leaving=True),
-        Pulse(
+        Heartbeat(instance=INSTANCE, life=1, number=2),
+        Heartbeat(instance=INSTANCE, life=2**53 - 1, number=2, is_leaving=True),
+        Heartbeat(
             instance=INSTANCE,
             life=1,
             number=2,
@@ -33,23 +33,23 @@
         ),
     ],
 )
-def test_a_pulse_arrives_as_it_was_sent(pulse):
-    assert decode_pulse(encode_pulse(pulse)) == pulse
+def test_a_heartbeat_arrives_as_it_was_sent(heartbeat):
+    assert decode_heartbeat(encode_heartbeat(heartbeat)) == heartbeat
 
 
 def test_a_datagram_is_never_cut_in_pieces():
     demand = {f'team-{number}': 1.0 + number for number in range(500)}
-    pulse = Pulse(instance=INSTANCE, life=1, number=2, demand=demand)
-    datagram = encode_pulse(pulse)
+    heartbeat = Heartbeat(instance=INSTANCE, life=1, number=2, demand=demand)
+    datagram = encode_heartbeat(heartbeat)
     assert len(datagram) <= DATAGRAM_BYTES
-    kept = decode_pulse(datagram).demand
+    kept = decode_heartbeat(datagram).demand
     assert 'team-499' in kept
     assert 'team-0' not in kept
 
 
 @given(st.binary(max_size=200))
-def test_other_bytes_are_no_pulse(datagram):
-    assert decode_pulse(datagram) is None
+def test_other_bytes_are_no_heartbeat(datagram):
+    assert decode_heartbeat(datagram) is None
     assert JsonInstances().decode(datagram) is None
 
 
@@ -58,7 +58,7 @@
 )
 def test_other_json_is_no_entry(encoded):
     assert JsonInstances().decode(encoded) is None
-    assert decode_pulse(encoded) is None
+    assert decode_heartbeat(encoded) is None
 
 
 def test_an_entry():
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -147,7 +147,7 @@
     joined.has_joined = has_joined
     joined.own = own
     if given_s is not None:
-        joined.taught_at = 1.0 - given_s
+        joined.warmup_at = 1.0 - given_s
     assert (place(request, state, 1.0).state is joined) is is_chosen
     joined.succeed(1.0, 'another')
     assert place(request, state, 9.0).state is known
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -9,7 +9,7 @@
 from currantspur.messages.relays import Reading, RowsRequest
 from currantspur.standins import Fleet
 from currantspur.standins.fleet import find_address, wait_until
-from currantspur.tasks import RelayDesk, RelayPort, Sources, Store
+from currantspur.tasks import RelayPort, RowRelay, Sources, Store
 from currantspur.tasks.sources import AVOID_S
 from currantspur.wire.peers import JsonInstances
 from tests.virtual import VirtualClock
@@ -97,14 +97,14 @@
     ],
 )
 async def test_what_peers_are_told(rows, after, by_key, revision):
-    desk = RelayDesk(clock=VirtualClock())
+    row_relay = RowRelay(clock=VirtualClock())
     for each in rows:
-        desk.mailbox.post(each)
+        row_relay.mailbox.post(each)
     asked = asyncio.create_task(
-        desk.mailbox.ask(RowsRequest(table='t', after=after))
+        row_relay.mailbox.ask(RowsRequest(table='t', after=after))
     )
     await asyncio.sleep(0)
-    desk.receive(desk.mailbox.drain())
+    row_relay.receive(row_relay.mailbox.drain())
     await asyncio.sleep(0)
     assert asked.done() is (by_key is not None)
     if asked.done():
@@ -114,13 +114,13 @@
 
 
 async def test_what_was_before_is_not_known():
-    desk = RelayDesk(clock=VirtualClock())
-    desk.mailbox.post(SECOND)
+    row_relay = RowRelay(clock=VirtualClock())
+    row_relay.mailbox.post(SECOND)
     asked = asyncio.create_task(
-        desk.mailbox.ask(RowsRequest(table='t', after=5))
+        row_relay.mailbox.ask(RowsRequest(table='t', after=5))
     )
     await asyncio.sleep(0)
-    desk.receive(desk.mailbox.drain())
+    row_relay.receive(row_relay.mailbox.drain())
     assert await asked is None
 
 
--- a/tests/test_shift.py
+++ b/tests/test_shift.py
@@ -13,8 +13,8 @@
     sent = []
     for number in range(20 * per_s):
         at = number / per_s
-        wishes_far = random.random() < wanted(at)
-        is_far = shift.decide(at, wishes_far=wishes_far)
+        prefers_far = random.random() < wanted(at)
+        is_far = shift.decide(at, prefers_far=prefers_far)
         shift.note(is_far=is_far)
         sent.append((at, is_far))
     return sent
@@ -61,22 +61,22 @@
 def test_a_region_in_trouble_may_be_left(failed_at, at, may):
     shift = ShiftCap(CAP)
     for number in range(20):
-        shift.decide(3.0 + number / 20, wishes_far=False)
+        shift.decide(3.0 + number / 20, prefers_far=False)
         shift.note(is_far=False)
     if failed_at is not None:
         shift.disturb(failed_at)
-    assert shift.decide(at, wishes_far=True) is may
+    assert shift.decide(at, prefers_far=True) is may
 
 
 def test_what_left_comes_back_slowly():
     shift = ShiftCap(CAP)
     shift.disturb(0.0)
     for number in range(30):
-        assert shift.decide(number / 10, wishes_far=True)
+        assert shift.decide(number / 10, prefers_far=True)
         shift.note(is_far=True)
     after = []
     for number in range(50):
-        is_far = shift.decide(4.1 + number / 25, wishes_far=False)
+        is_far = shift.decide(4.1 + number / 25, prefers_far=False)
         shift.note(is_far=is_far)
         after.append(is_far)
     assert 1 - sum(after) / len(after) <= CAP
--- a/tests/test_departure.py
+++ b/tests/test_shutdown.py
@@ -3,13 +3,13 @@
 import aiohttp
 import pytest
 
-from currantspur import departure
+from currantspur import shutdown
 from currantspur.standins.fleet import PREFIX, wait_until
 from tests.fleets import call, first, open_fleet
 
 
 async def test_no_request_is_cut(monkeypatch):
-    monkeypatch.setattr(departure, 'LINGER_S', 0.5)
+    monkeypatch.setattr(shutdown, 'LINGER_S', 0.5)
     async with open_fleet(targets=()) as (fleet, session):
         await fleet.open_target('slow', 'north-1', work_s=0.3)
         daemon = first(fleet.daemons)
@@ -29,7 +29,7 @@
 
 
 async def test_a_request_that_comes_last_is_answered(monkeypatch):
-    monkeypatch.setattr(departure, 'LINGER_S', 0.2)
+    monkeypatch.setattr(shutdown, 'LINGER_S', 0.2)
     async with open_fleet(targets=()) as (fleet, session):
         await fleet.open_target('slow', 'north-1', work_s=0.4)
         daemon = first(fleet.daemons)
@@ -42,7 +42,7 @@
 
 
 async def test_idle_connections_are_closed_first(monkeypatch):
-    monkeypatch.setattr(departure, 'LINGER_S', 0.1)
+    monkeypatch.setattr(shutdown, 'LINGER_S', 0.1)
     async with open_fleet(targets=()) as (fleet, session):
         await fleet.open_target('slow', 'north-1', work_s=0.6)
         daemon = first(fleet.daemons)
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -21,7 +21,7 @@
         if sheds:
             state = daemon.dispatcher.states['target-0']
             state.succeed(daemon.clock.now(), '17')
-            fleet.targets['target-0'].manner = Shedding()
+            fleet.targets['target-0'].behaviour = Shedding()
         await call(session, daemon)
         await wait_until(lambda: not daemon.listener.running)
         traces.provider.force_flush()
