Take a reset of a busy target for overload, not for a disturbance

Change: a lost connection is a disturbance only if the target had a free slot as far as is known. Before: the new rows for 3 and 9 others fail.

--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -167,14 +167,19 @@
         elif release.outcome == 'shed':
             state.overflow(now)
         elif release.outcome in TROUBLES:
+            self._note_disturbance(release, state, now)
             state.fail(now)
-            self._note_disturbance(release, now)
 
-    def _note_disturbance(self, release: TargetRelease, now: float) -> None:
-        # An overload is late and errs too: it may not move requests at once.
-        zone = release.assignment.target.availability_zone
-        is_near = not self.placing.nearness.is_far(zone)
-        if is_near and release.outcome in DISTURBANCES:
+    def _note_disturbance(
+        self, release: TargetRelease, state: TargetState, now: float
+    ) -> None:
+        # A target with a long queue is late, errs and resets connections too:
+        # an overload may not move requests at once.
+        is_near = not self.placing.nearness.is_far(
+            state.target.availability_zone
+        )
+        is_idle = state.busy(now) < state.target.slots
+        if is_near and is_idle and release.outcome in DISTURBANCES:
             self.placing.shift.disturb(now)
 
     def _measure(
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -76,6 +76,21 @@
     assert (shift.disturbed_until > 0) is may_leave
 
 
+@pytest.mark.parametrize(
+    ('others', 'may_leave'),
+    [(0, True), (2, True), (3, False), (9, False)],
+)
+async def test_a_reset_of_a_busy_target_is_overload(others, may_leave):
+    dispatcher = make_dispatcher('n1')
+    first = await ask(dispatcher)
+    # The target counts the request itself too.
+    load = TargetLoad(running=others + 1, waiting=0, slots=3)
+    dispatcher.states['t0'].report(load, 0.0)
+    dispatcher.learn(TargetRelease(assignment=first, outcome='failed'))
+    shift = dispatcher.placing.shift
+    assert (shift.disturbed_until > 0) is may_leave
+
+
 @pytest.mark.parametrize(
     ('zones', 'more', 'code'),
     [
