--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -4,10 +4,12 @@
 from random import Random
 
 from currantspur.background_tasks import BackgroundTasks
-from currantspur.decisions.table_sources import order_sources
+from currantspur.decisions.table_sources import STORE_SOURCE, order_sources
 from currantspur.decisions.topology import Topology
 from currantspur.errors import ListenError
-from currantspur.messages import FleetView, Instance
+from currantspur.messages import FleetView, Instance, Message, TableSnapshot
+from currantspur.pipelines.filter import Filter
+from currantspur.pipelines.instance_rows import InstanceRowDecoder
 from currantspur.platform import (
     PLATFORM_NAMES,
     OperatorRowDecoder,
@@ -25,6 +27,7 @@
     FailoverStore,
     Journal,
     LineSink,
+    Mailbox,
     Membership,
     Registrar,
     RequestForwarder,
@@ -33,6 +36,7 @@
     TableFollower,
     Task,
 )
+from currantspur.tasks.registrar import INSTANCES_TABLE
 from currantspur.tasks.tracing import NoTracer, Tracer
 from currantspur.wire.heartbeats import JsonInstanceCodec, open_heartbeat_socket
 from currantspur.wire.lookup_handler import LookupHandler
@@ -104,16 +108,17 @@
             journal=self.journal,
             instance=settings.instance,
         )
-        self.followers = self._create_followers()
         self.membership = self._create_membership()
+        self.followers = self._create_followers()
         self.registrar = Registrar(
             own=self.membership.membership_table.own_heartbeat.instance,
             store=self.store,
             codec=JsonInstanceCodec(),
-            membership=self.membership,
+            membership=self.membership.mailbox,
             clock=self.clock,
             journal=self.journal,
             random=self.random,
+            is_first_start=settings.first_start,
         )
         self.request_handler = RequestHandler(
             forwarder=self._create_forwarder(),
@@ -145,9 +150,15 @@
             raise
         for task in self._list_tasks():
             self.background_tasks.start(task.run())
-        for follower in self.followers.values():
-            self.background_tasks.start(follower.run())
-        self.background_tasks.start(self.registrar.run())
+        self.background_tasks.start(
+            self.followers[INSTANCES_TABLE].run_after(self.registrar.run())
+        )
+        for table in (OPERATOR_TABLE, TARGET_TABLE):
+            # In a large fleet a table is read through relays, once these are
+            # known from the list.
+            self.background_tasks.start(
+                self.followers[table].run_after(self.registrar.wait_for_list())
+            )
         self.background_tasks.start(
             self.membership.send_heartbeats(self.random)
         )
@@ -229,29 +240,38 @@
 
     def _create_followers(self) -> dict[str, TableFollower]:
         admission, dispatcher = self.admission.mailbox, self.dispatcher.mailbox
+        membership = self.membership.mailbox
         return {
-            OPERATOR_TABLE: TableFollower(
-                table=OPERATOR_TABLE,
-                store=self.store,
-                decoder=OperatorRowDecoder(),
-                subscribers=(admission, dispatcher),
-                row_relay=self.row_relay.mailbox,
-                clock=self.clock,
-                journal=self.journal,
-                random=self.random,
+            OPERATOR_TABLE: self._create_follower(
+                OPERATOR_TABLE, OperatorRowDecoder(), admission, dispatcher
+            ),
+            TARGET_TABLE: self._create_follower(
+                TARGET_TABLE, TargetRowDecoder(), dispatcher
             ),
-            TARGET_TABLE: TableFollower(
-                table=TARGET_TABLE,
-                store=self.store,
-                decoder=TargetRowDecoder(),
-                subscribers=(dispatcher,),
-                row_relay=self.row_relay.mailbox,
-                clock=self.clock,
-                journal=self.journal,
-                random=self.random,
+            INSTANCES_TABLE: self._create_follower(
+                INSTANCES_TABLE,
+                InstanceRowDecoder(JsonInstanceCodec()),
+                membership,
             ),
         }
 
+    def _create_follower(
+        self,
+        table: str,
+        decoder: Filter[TableSnapshot, Message],
+        *subscribers: Mailbox,
+    ) -> TableFollower:
+        return TableFollower(
+            table=table,
+            store=self.store,
+            decoder=decoder,
+            subscribers=subscribers,
+            row_relay=self.row_relay.mailbox,
+            clock=self.clock,
+            journal=self.journal,
+            random=self.random,
+        )
+
     def _create_membership(self) -> Membership:
         settings = self.settings
         return Membership(
@@ -293,7 +313,10 @@
 
     def _order_sources(self, view: FleetView) -> None:
         own = self.membership.membership_table.own_heartbeat.instance
-        self.store.source_order = order_sources(view, own)
+        sources = order_sources(view, own)
+        self.store.source_order = sources
+        for follower in self.followers.values():
+            follower.follow_relays(is_relayed=sources[0] != STORE_SOURCE)
 
     def _check_peer_revisions(
         self, revisions: Mapping[str, int], at: float
--- a/src/currantspur/decisions/membership_table.py
+++ b/src/currantspur/decisions/membership_table.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Iterable, Iterator, Mapping
 
-from currantspur.messages import FleetView, Heartbeat, Instance
+from currantspur.decisions.sequence_order import SequenceOrder
+from currantspur.decisions.zone_digests import ZoneDigestTable
+from currantspur.messages import FleetView, Heartbeat, Instance, ZoneDigest
 
 # Look-ups stop returning an instance that is silent for longer: four heartbeat
 # intervals without jitter. Two heartbeats in a row may be lost, a third only if
@@ -20,9 +22,14 @@
 # the store lists: peers that restarted with it are heard from only a heartbeat
 # later.
 STARTUP_WINDOW_S = 5.0
-# Fleet size assumed until the store's list is read: the largest one at which
-# every instance reads the store itself (MAX_DIRECT_FLEET_SIZE).
+# Fleet size assumed until the store's list is read.
 DEFAULT_FLEET_SIZE = 12
+# Fleets of up to this size exchange all heartbeats, and each instance reads the
+# store itself; in larger ones both would cost more than they are worth.
+MAX_DIRECT_FLEET_SIZE = 12
+# Busy slots by service, and these by region.
+SlotsByService = Mapping[str, float]
+SlotsByRegion = Mapping[str, SlotsByService]
 # The default time of the start: no startup window.
 LONG_AGO = float('-inf')
 
@@ -30,41 +37,38 @@
 class HeartbeatRecord:
     """The newest heartbeat of an instance and the time of its arrival."""
 
-    __slots__ = ('heartbeat', 'previous_incarnation', 'received_at')
+    __slots__ = ('heartbeat', 'order', 'received_at')
 
-    def __init__(
-        self,
-        heartbeat: Heartbeat,
-        at: float,
-        *,
-        previous_incarnation: int | None = None,
-    ) -> None:
-        """Record a heartbeat and the incarnation that preceded its own.
-
-        Late heartbeats of the previous incarnation are ignored.
-        """
+    def __init__(self, heartbeat: Heartbeat, at: float) -> None:
         self.heartbeat = heartbeat
         self.received_at = at
-        self.previous_incarnation = previous_incarnation
+        self.order = SequenceOrder(
+            heartbeat.incarnation, heartbeat.sequence_number
+        )
 
-    def is_superseded_by(self, heartbeat: Heartbeat) -> bool:
-        """Tell whether a heartbeat was sent after the recorded one."""
-        if heartbeat.incarnation == self.heartbeat.incarnation:
-            return heartbeat.sequence_number > self.heartbeat.sequence_number
-        return heartbeat.incarnation != self.previous_incarnation
+    def update(self, heartbeat: Heartbeat, at: float) -> bool:
+        """Record a heartbeat unless it is older than the recorded one."""
+        if not self.order.advance(
+            heartbeat.incarnation, heartbeat.sequence_number
+        ):
+            return False
+        self.heartbeat = heartbeat
+        self.received_at = at
+        return True
 
 
 class MembershipTable:
-    """Keep the newest heartbeat of every peer.
+    """Keep the newest heartbeat of every peer and digest of every zone.
 
     This instance itself never times out.
     """
 
     __slots__ = (
         'heartbeat_records',
-        'listed_count',
+        'listed_instances',
         'own_heartbeat',
         'started_at',
+        'zone_digests',
     )
 
     def __init__(
@@ -72,11 +76,18 @@
     ) -> None:
         """Start with the own heartbeat, at the time `started_at`."""
         self.started_at = started_at
-        # The number of instances that the store lists; None until it is read.
-        # 0 counts as not read.
-        self.listed_count: int | None = None
+        # The instances that the store lists; empty until it is read.
+        self.listed_instances: tuple[Instance, ...] = ()
         self.own_heartbeat = own_heartbeat
         self.heartbeat_records: dict[str, HeartbeatRecord] = {}
+        self.zone_digests = ZoneDigestTable(
+            own_heartbeat.instance.availability_zone
+        )
+
+    @property
+    def own_zone(self) -> str:
+        """The availability zone of this instance."""
+        return self.own_heartbeat.instance.availability_zone
 
     def record_heartbeat(self, heartbeat: Heartbeat, at: float) -> bool:
         """Record a heartbeat of a peer.
@@ -89,23 +100,26 @@
         name = heartbeat.instance.name
         if name == self.own_heartbeat.instance.name:
             return False
+        # Heartbeats from a zone replace a digest that has timed out.
+        instance = heartbeat.instance
+        self.zone_digests.forget_zone_before(
+            instance.availability_zone,
+            at - self._get_timeout_s(instance.region),
+        )
         known = self.heartbeat_records.get(name)
         if known is None:
             self.heartbeat_records[name] = HeartbeatRecord(heartbeat, at)
             return True
-        if not known.is_superseded_by(heartbeat):
-            return False
-        previous_incarnation = known.previous_incarnation
-        if heartbeat.incarnation != known.heartbeat.incarnation:
-            previous_incarnation = known.heartbeat.incarnation
-        self.heartbeat_records[name] = HeartbeatRecord(
-            heartbeat, at, previous_incarnation=previous_incarnation
-        )
-        return _accepts_callers(known.heartbeat) != _accepts_callers(heartbeat)
+        accepted_callers = _accepts_callers(known.heartbeat)
+        is_newer = known.update(heartbeat, at)
+        return is_newer and accepted_callers != _accepts_callers(heartbeat)
 
-    def list_peers(self, listed: Iterable[Instance]) -> list[Instance]:
-        """Return the instances to send heartbeats to: listed or heard from."""
-        peers = {instance.name: instance for instance in listed}
+    def list_peers(self) -> list[Instance]:
+        """Return all other instances: listed, heard from or in a digest."""
+        peers = {instance.name: instance for instance in self.listed_instances}
+        for digest in self.zone_digests.list_since(LONG_AGO):
+            for instance in digest.live_instances:
+                peers[instance.name] = instance
         for name, record in self.heartbeat_records.items():
             peers[name] = record.heartbeat.instance
         peers.pop(self.own_heartbeat.instance.name, None)
@@ -124,62 +138,113 @@
         is leaving and fell silent.
         """
         self._drop_expired(at)
+        counted = list(self.counted_heartbeats(at))
+        digests = list(self.zone_digests.list_since(at - FORGET_AFTER_S))
         live = (
-            [self.own_heartbeat.instance]
-            if _accepts_callers(self.own_heartbeat)
-            else []
+            *self.live_instances(at),
+            *(
+                instance
+                for digest in self._current_digests(at)
+                for instance in digest.live_instances
+            ),
+        )
+        known_count = len(counted) + sum(
+            digest.counted_instances for digest in digests
         )
-        demand: dict[str, Mapping[str, float]] = {
-            self.own_heartbeat.instance.name: (
-                self.own_heartbeat.requests_per_s_by_team
-            )
-        }
-        for name, record in self.heartbeat_records.items():
-            if (
-                record.heartbeat.is_leaving
-                and at - record.received_at > HEARTBEAT_TIMEOUT_S
-            ):
-                continue
-            demand[name] = record.heartbeat.requests_per_s_by_team
-            if self._is_current(record, at) and _accepts_callers(
-                record.heartbeat
-            ):
-                live.append(record.heartbeat.instance)
         return FleetView(
-            live_instances=tuple(live),
-            fleet_size=self._estimate_fleet_size(len(demand), at),
-            requests_per_s_by_instance=demand,
+            live_instances=live,
+            reachable_instances=self._list_reachable(live, at),
+            fleet_size=self._estimate_fleet_size(known_count, at),
+            requests_per_s_by_team=sum_by_key(
+                (
+                    *(each.requests_per_s_by_team for each in counted),
+                    *(each.requests_per_s_by_team for each in digests),
+                )
+            ),
+            own_requests_per_s_by_team=(
+                self.own_heartbeat.requests_per_s_by_team
+            ),
             computed_at=at,
             busy_slots_by_region=self._sum_busy_slots(at),
         )
 
+    def live_instances(self, at: float) -> Iterator[Instance]:
+        """Yield the instances whose own heartbeats say that they are live."""
+        for heartbeat in self.current_heartbeats(at):
+            if _accepts_callers(heartbeat):
+                yield heartbeat.instance
+
+    def counted_heartbeats(self, at: float) -> Iterator[Heartbeat]:
+        """Yield the heartbeats of instances that divide limits."""
+        yield self.own_heartbeat
+        for record in self._undigested_records():
+            is_gone = (
+                record.heartbeat.is_leaving
+                and at - record.received_at > HEARTBEAT_TIMEOUT_S
+            )
+            if not is_gone:
+                yield record.heartbeat
+
+    def current_heartbeats(self, at: float) -> Iterator[Heartbeat]:
+        """Yield the heartbeats of instances that were heard from lately."""
+        yield self.own_heartbeat
+        for record in self._undigested_records():
+            instance = record.heartbeat.instance
+            if at - record.received_at <= self._get_timeout_s(instance.region):
+                yield record.heartbeat
+
+    def _list_reachable(
+        self, live: tuple[Instance, ...], at: float
+    ) -> tuple[Instance, ...]:
+        by_name = {instance.name: instance for instance in live}
+        own = self.own_heartbeat.instance
+        by_name[own.name] = own
+        if at - self.started_at < STARTUP_WINDOW_S:
+            for instance in self.list_peers():
+                by_name[instance.name] = instance
+        return tuple(by_name.values())
+
     def _estimate_fleet_size(self, known_count: int, at: float) -> int:
         if at - self.started_at >= STARTUP_WINDOW_S:
             return known_count
-        return max(known_count, self.listed_count or DEFAULT_FLEET_SIZE)
+        return max(
+            known_count, len(self.listed_instances) or DEFAULT_FLEET_SIZE
+        )
 
-    def _sum_busy_slots(self, at: float) -> dict[str, dict[str, float]]:
-        by_region: dict[str, dict[str, float]] = {}
-        for heartbeat in self._current_heartbeats(at):
-            by_service = by_region.setdefault(heartbeat.instance.region, {})
-            for service, busy_slots in heartbeat.busy_slots_by_service.items():
-                by_service[service] = by_service.get(service, 0.0) + busy_slots
-        return by_region
+    def _sum_busy_slots(self, at: float) -> SlotsByRegion:
+        by_region: dict[str, list[SlotsByService]] = {}
+        for heartbeat in self.current_heartbeats(at):
+            by_region.setdefault(heartbeat.instance.region, []).append(
+                heartbeat.busy_slots_by_service
+            )
+        for digest in self._current_digests(at):
+            by_region.setdefault(digest.region, []).append(
+                digest.busy_slots_by_service
+            )
+        return {
+            region: sum_by_key(by_services)
+            for region, by_services in by_region.items()
+        }
 
-    def _current_heartbeats(self, at: float) -> Iterator[Heartbeat]:
-        yield self.own_heartbeat
+    def _undigested_records(self) -> Iterator[HeartbeatRecord]:
+        """Yield the records of instances that are in no digest."""
         for record in self.heartbeat_records.values():
-            if self._is_current(record, at):
-                yield record.heartbeat
+            zone = record.heartbeat.instance.availability_zone
+            if self.zone_digests.find(zone) is None:
+                yield record
+
+    def _current_digests(self, at: float) -> Iterator[ZoneDigest]:
+        for record in self.zone_digests.record_by_zone.values():
+            timeout_s = self._get_timeout_s(record.digest.region)
+            if at - record.received_at <= timeout_s:
+                yield record.digest
 
-    def _is_current(self, record: HeartbeatRecord, at: float) -> bool:
-        is_cross_region = self.is_cross_region(record.heartbeat.instance)
-        timeout_s = (
-            CROSS_REGION_HEARTBEAT_TIMEOUT_S
-            if is_cross_region
-            else HEARTBEAT_TIMEOUT_S
+    def _get_timeout_s(self, region: str) -> float:
+        return (
+            HEARTBEAT_TIMEOUT_S
+            if region == self.own_heartbeat.instance.region
+            else CROSS_REGION_HEARTBEAT_TIMEOUT_S
         )
-        return at - record.received_at <= timeout_s
 
     def _drop_expired(self, at: float) -> None:
         expired = [
@@ -189,7 +254,17 @@
         ]
         for name in expired:
             self.heartbeat_records.pop(name)
+        self.zone_digests.forget_before(at - FORGET_AFTER_S)
 
 
 def _accepts_callers(heartbeat: Heartbeat) -> bool:
     return heartbeat.is_ready and not heartbeat.is_leaving
+
+
+def sum_by_key(mappings: Iterable[Mapping[str, float]]) -> dict[str, float]:
+    """Return the sums of the amounts by key over all mappings."""
+    totals: dict[str, float] = {}
+    for mapping in mappings:
+        for key, amount in mapping.items():
+            totals[key] = totals.get(key, 0.0) + amount
+    return totals
--- a/src/currantspur/decisions/rate_share.py
+++ b/src/currantspur/decisions/rate_share.py
@@ -1,7 +1,5 @@
 """Divide the rate of a team between instances by the demand at each."""
 
-from collections.abc import Mapping
-
 from currantspur.decisions.token_bucket import TokenBucket
 
 # The bucket of a new process starts with the tokens that its rate yields in
@@ -14,22 +12,21 @@
 
 def share_rate(
     rate_per_s: float,
-    demand_per_s: Mapping[str, float],
-    instance: str,
     *,
+    own_demand_per_s: float,
+    total_demand_per_s: float,
     fleet_size: int,
 ) -> float:
     """Return the part of a team's rate that an instance may use, per second.
 
-    Demand is given in requests per second by instance. Every instance computes
-    the parts from the same demand. If the rate covers all demand, each gets its
-    demand and an equal part of the rest; else each demand is cut in proportion.
+    Demand is given in requests per second, that of the fleet includes the own.
+    If the rate covers all demand, each instance gets its demand and an equal
+    part of the rest; else each demand is cut in proportion.
     """
-    own_demand_per_s = demand_per_s.get(instance, 0.0)
-    total_per_s = sum(demand_per_s.values())
-    if total_per_s > rate_per_s:
-        return rate_per_s * own_demand_per_s / total_per_s
-    return own_demand_per_s + (rate_per_s - total_per_s) / max(1, fleet_size)
+    if total_demand_per_s > rate_per_s:
+        return rate_per_s * own_demand_per_s / total_demand_per_s
+    spare_per_s = rate_per_s - total_demand_per_s
+    return own_demand_per_s + spare_per_s / max(1, fleet_size)
 
 
 class RateShare:
--- a/src/currantspur/decisions/table_sources.py
+++ b/src/currantspur/decisions/table_sources.py
@@ -3,14 +3,14 @@
 from collections.abc import Iterable
 
 from currantspur.decisions.affinity import rendezvous_weight
+from currantspur.decisions.membership_table import MAX_DIRECT_FLEET_SIZE
+from currantspur.decisions.zone_digests import rank_by_link
 from currantspur.messages import FleetView, Instance
 
 # Stands for the store where the other sources are addresses of peers.
 STORE_SOURCE = ''
-# In a fleet of up to this size every instance reads the store itself: a call is
-# cheap, and a relay would only add a step.
-MAX_DIRECT_FLEET_SIZE = 12
 RELAYS_PER_REGION = 2
+RELAYS_PER_ZONE = 2
 # The number of peers that are asked when the store does not answer.
 MAX_PEER_SOURCES = 2
 
@@ -18,26 +18,47 @@
 def order_sources(view: FleetView, own: Instance) -> tuple[str, ...]:
     """Return the sources to try in order: peer addresses and STORE_SOURCE.
 
-    A larger fleet reads through a few relays in each region, which read the
-    store; all others ask the store only when these relay instances do not
-    answer. Peers of any region are used while no instance of the own region,
-    this one included, is live.
+    In a larger fleet two relays of each region read the store, two relays of
+    each zone read from those, and all others from the relays of their zone.
+    The store is asked only when these relays do not answer. Peers of any
+    region are used while no instance of the own region is reachable.
     """
-    in_region = [
-        peer for peer in view.live_instances if peer.region == own.region
-    ]
-    # Relays are the instances with the widest links: sending a configuration to
-    # a whole region fills a narrow link for seconds. The sort is stable, so
-    # instances with equal links keep the rendezvous order.
-    ranked = sorted(_rank(in_region, own.region), key=_link_mbps, reverse=True)
-    if len(view.live_instances) <= MAX_DIRECT_FLEET_SIZE or not ranked:
+    reachable = view.reachable_instances or view.live_instances
+    in_region = [peer for peer in reachable if peer.region == own.region]
+    if len(reachable) <= MAX_DIRECT_FLEET_SIZE or not in_region:
         return STORE_SOURCE, *_list_peers(
-            _rank(in_region, own.name) or view.live_instances, own
+            _rank(in_region or reachable, own.name), own
         )
-    relays = ranked[:RELAYS_PER_REGION]
-    if own.name in {relay.name for relay in relays}:
-        return STORE_SOURCE, *_list_peers(relays, own)
-    return *_list_peers(_rank(relays, own.name), own), STORE_SOURCE
+    region_relays = rank_by_link(in_region, own.region)[:RELAYS_PER_REGION]
+    if _contains(region_relays, own):
+        return STORE_SOURCE, *_list_peers(region_relays, own)
+    relays = _list_zone_relays(in_region, region_relays, own)
+    if _contains(relays, own):
+        relays = region_relays
+    sources = _list_peers(_rank(relays, own.name), own)
+    others = _list_peers(_rank(region_relays, own.name), own)
+    return *dict.fromkeys((*sources, *others)), STORE_SOURCE
+
+
+def _list_zone_relays(
+    in_region: list[Instance], region_relays: list[Instance], own: Instance
+) -> list[Instance]:
+    """Return the relays of the own zone, those of the region if any is in it.
+
+    Traffic between zones is paid for, so that only relays read across them.
+    """
+    zone = own.availability_zone
+    local_region_relays = [
+        relay for relay in region_relays if relay.availability_zone == zone
+    ]
+    if local_region_relays:
+        return local_region_relays
+    in_zone = [peer for peer in in_region if peer.availability_zone == zone]
+    return rank_by_link(in_zone, zone)[:RELAYS_PER_ZONE]
+
+
+def _contains(instances: Iterable[Instance], own: Instance) -> bool:
+    return own.name in {instance.name for instance in instances}
 
 
 def _rank(instances: Iterable[Instance], key: str) -> list[Instance]:
@@ -48,10 +69,6 @@
     )
 
 
-def _link_mbps(instance: Instance) -> float:
-    return instance.link_mbps
-
-
 def _list_peers(
     instances: Iterable[Instance], own: Instance
 ) -> tuple[str, ...]:
--- a/src/currantspur/messages/__init__.py
+++ b/src/currantspur/messages/__init__.py
@@ -15,6 +15,7 @@
     FleetView,
     Heartbeat,
     Instance,
+    ListedInstances,
     ServiceLoad,
     ShutdownStarted,
     SpillPlan,
@@ -22,6 +23,7 @@
     TargetsUpdate,
     TeamDemand,
     Tick,
+    ZoneDigest,
 )
 from currantspur.messages.requests import (
     Assignment,
@@ -51,6 +53,7 @@
     'Heartbeat',
     'IncomingRequest',
     'Instance',
+    'ListedInstances',
     'LookupQuery',
     'LookupResponse',
     'Message',
@@ -75,5 +78,6 @@
     'TeamDemand',
     'Tick',
     'WeightedService',
+    'ZoneDigest',
     'fields',
 )
--- a/src/currantspur/messages/fleet_state.py
+++ b/src/currantspur/messages/fleet_state.py
@@ -152,6 +152,8 @@
     - ``revisions``: the newest known row revision by table.
     - ``busy_slots_by_service``: estimated slots of targets that the requests
       received here occupy.
+    - ``reads_digests``: the instance learns of other zones by their digests,
+      and so needs no heartbeats from there; older builds do not.
     """
 
     __slots__ = (
@@ -160,6 +162,7 @@
         'instance',
         'is_leaving',
         'is_ready',
+        'reads_digests',
         'requests_per_s_by_team',
         'revisions',
         'sequence_number',
@@ -176,7 +179,9 @@
         requests_per_s_by_team: Mapping[str, float] | None = None,
         revisions: Mapping[str, int] | None = None,
         busy_slots_by_service: Mapping[str, float] | None = None,
+        reads_digests: bool = True,
     ) -> None:
+        self.reads_digests = reads_digests
         self.is_ready = is_ready
         self.instance = instance
         self.incarnation = incarnation
@@ -187,16 +192,72 @@
         self.busy_slots_by_service = busy_slots_by_service or {}
 
 
+class ZoneDigest(Message):
+    """The state of an availability zone, as one of its instances sums it up.
+
+    - ``reporter``, ``incarnation``, ``sequence_number``: the instance that
+      sends the digest, and its numbers as in a Heartbeat.
+    - ``live_instances``: instances of the zone that callers may use.
+    - ``counted_instances``: number of its instances that divide limits.
+    - ``requests_per_s_by_team``, ``busy_slots_by_service``: sums over these.
+    - ``revisions``: the newest row revision by table that any of them knows.
+    - ``is_relayed``: it was passed on within the zone that received it.
+    """
+
+    __slots__ = (
+        'availability_zone',
+        'busy_slots_by_service',
+        'counted_instances',
+        'incarnation',
+        'is_relayed',
+        'live_instances',
+        'region',
+        'reporter',
+        'requests_per_s_by_team',
+        'revisions',
+        'sequence_number',
+    )
+
+    def __init__(
+        self,
+        *,
+        availability_zone: str,
+        region: str,
+        reporter: str,
+        incarnation: int,
+        sequence_number: int,
+        live_instances: tuple[Instance, ...] = (),
+        counted_instances: int = 0,
+        requests_per_s_by_team: Mapping[str, float] | None = None,
+        busy_slots_by_service: Mapping[str, float] | None = None,
+        revisions: Mapping[str, int] | None = None,
+        is_relayed: bool = False,
+    ) -> None:
+        self.availability_zone = availability_zone
+        self.region = region
+        self.reporter = reporter
+        self.incarnation = incarnation
+        self.sequence_number = sequence_number
+        self.live_instances = live_instances
+        self.counted_instances = counted_instances
+        self.requests_per_s_by_team = requests_per_s_by_team or {}
+        self.busy_slots_by_service = busy_slots_by_service or {}
+        self.revisions = revisions or {}
+        self.is_relayed = is_relayed
+
+
 class FleetView(Message):
-    """The fleet as one instance sees it, computed from heartbeats.
+    """The fleet as one instance sees it, from heartbeats and zone digests.
 
     - ``live_instances``: instances that callers may use.
+    - ``reachable_instances``: instances that may be asked for table rows,
+      ready or not; just after the start those that the store lists.
     - ``fleet_size``: number of instances that divide limits: those that may
       send requests to targets, also silent ones. Just after the start it is
       at least the number listed in the store, or a default until that is
       read.
-    - ``requests_per_s_by_instance``: rates of requests by name of the
-      instance that received them, then by team.
+    - ``requests_per_s_by_team``: rates of requests received by the fleet.
+    - ``own_requests_per_s_by_team``: the part received by this instance.
     - ``busy_slots_by_region``: estimated slots of targets that requests
       occupy, by region of the callers, then by service.
     """
@@ -206,7 +267,9 @@
         'computed_at',
         'fleet_size',
         'live_instances',
-        'requests_per_s_by_instance',
+        'own_requests_per_s_by_team',
+        'reachable_instances',
+        'requests_per_s_by_team',
     )
 
     def __init__(
@@ -214,17 +277,30 @@
         *,
         live_instances: tuple[Instance, ...],
         fleet_size: int,
-        requests_per_s_by_instance: Mapping[str, Mapping[str, float]],
         computed_at: float,
+        reachable_instances: tuple[Instance, ...] = (),
+        requests_per_s_by_team: Mapping[str, float] | None = None,
+        own_requests_per_s_by_team: Mapping[str, float] | None = None,
         busy_slots_by_region: Mapping[str, Mapping[str, float]] | None = None,
     ) -> None:
-        self.busy_slots_by_region = busy_slots_by_region or {}
         self.live_instances = live_instances
+        self.reachable_instances = reachable_instances
         self.fleet_size = fleet_size
-        self.requests_per_s_by_instance = requests_per_s_by_instance
+        self.requests_per_s_by_team = requests_per_s_by_team or {}
+        self.own_requests_per_s_by_team = own_requests_per_s_by_team or {}
+        self.busy_slots_by_region = busy_slots_by_region or {}
         self.computed_at = computed_at
 
 
+class ListedInstances(Message):
+    """The instances that the store lists, some of them gone for long."""
+
+    __slots__ = ('instances',)
+
+    def __init__(self, *, instances: tuple[Instance, ...]) -> None:
+        self.instances = instances
+
+
 class TeamDemand(Message):
     """Smoothed rate of requests that this instance received, by team."""
 
--- a/src/currantspur/platform/store.py
+++ b/src/currantspur/platform/store.py
@@ -52,27 +52,14 @@
 
     async def read(self, table: str) -> RowsResponse:
         """Return all rows of a table, read in pages; raise StoreAwayError."""
-        rows_by_key: dict[str, bytes | None] = {}
-        newest_row_revision = -1
-        from_key = ''
-        while True:
-            query = {'table': table, 'part': '', 'from': from_key}
-            page = await self._call(
-                'GET', 'rows-get', query=query, timeout_s=CALL_TIMEOUT_S
-            )
-            rows = list(_decode_rows(page))
-            rows_by_key.update(rows)
-            newest_row_revision = max(
-                newest_row_revision, _get_newest_revision(page)
-            )
-            if not page.get('has_more') or not rows:
-                return RowsResponse(
-                    rows_by_key=rows_by_key,
-                    revision=page['ver'],
-                    newest_row_revision=newest_row_revision,
-                )
-            # A range includes its first key: continue just after the last one.
-            from_key = f'{rows[-1][0]}\0'
+        return await self._read_pages({'table': table, 'part': ''}, '')
+
+    async def read_range(
+        self, table: str, from_key: str, to_key: str
+    ) -> RowsResponse:
+        """Return the rows from a key up to, but not including, another."""
+        query = {'table': table, 'part': '', 'to': to_key}
+        return await self._read_pages(query, from_key)
 
     async def poll_changes(
         self, table: str, *, after: int, wait_s: float
@@ -127,6 +114,36 @@
         """Close all connections."""
         await self.session.close()
 
+    async def _read_pages(
+        self, query: Mapping[str, str], from_key: str
+    ) -> RowsResponse:
+        rows_by_key: dict[str, bytes | None] = {}
+        newest_row_revision = -1
+        revision: int | None = None
+        while True:
+            page = await self._call(
+                'GET',
+                'rows-get',
+                query={**query, 'from': from_key},
+                timeout_s=CALL_TIMEOUT_S,
+            )
+            rows = list(_decode_rows(page))
+            rows_by_key.update(rows)
+            newest_row_revision = max(
+                newest_row_revision, _get_newest_revision(page)
+            )
+            # Rows of the first page may change while others are read: changes
+            # are polled from its revision.
+            revision = page['ver'] if revision is None else revision
+            if not page.get('has_more') or not rows:
+                return RowsResponse(
+                    rows_by_key=rows_by_key,
+                    revision=revision,
+                    newest_row_revision=newest_row_revision,
+                )
+            # A range includes its first key: continue just after the last one.
+            from_key = f'{rows[-1][0]}\0'
+
     async def _call(
         self,
         method: str,
--- a/src/currantspur/settings/daemon.py
+++ b/src/currantspur/settings/daemon.py
@@ -26,12 +26,14 @@
     - ``limits``: limits of the whole fleet.
     - ``collector``: address of an OTLP collector, or None for no tracing.
     - ``link_mbps``: bandwidth of the network link in Mbit/s, 0 if unknown.
+    - ``first_start``: whether the whole fleet starts for the first time.
     """
 
     __slots__ = (
         'availability_zone',
         'collector',
         'directory',
+        'first_start',
         'instance',
         'limits',
         'link_mbps',
@@ -58,7 +60,9 @@
         limits: FleetLimits = DEFAULT_LIMITS,
         collector: str | None = None,
         link_mbps: float = 0.0,
+        first_start: bool = False,
     ) -> None:
+        self.first_start = first_start
         self.link_mbps = link_mbps
         self.instance = instance
         self.availability_zone = availability_zone
@@ -95,6 +99,7 @@
         limits=_read_limits(root.child('limits')),
         collector=_read_collector(root),
         link_mbps=root.number('link_mbps', 0.0),
+        first_start=root.flag('first_start', default=False),
     )
     root.check_keys()
     document.raise_findings()
--- a/src/currantspur/settings/document.py
+++ b/src/currantspur/settings/document.py
@@ -19,6 +19,8 @@
 # Stands in findings for a key that is a mapping or a sequence.
 NON_SCALAR_KEY = '?'
 _TEXT_TAG = 'tag:yaml.org,2002:str'
+_FLAG_TAG = 'tag:yaml.org,2002:bool'
+_TRUE_WORDS = frozenset(('on', 'true', 'yes'))
 _NULL_TAG = 'tag:yaml.org,2002:null'
 _NUMBER_TAGS = frozenset(
     (
@@ -138,6 +140,16 @@
             return low
         return number
 
+    def flag(self, key: str, *, default: bool) -> bool:
+        """Return the true or false of a key."""
+        member = self.child(key)
+        if member.is_absent:
+            return default
+        if member.node is None or member.node.tag != _FLAG_TAG:
+            member.add_finding('expected true or false')
+            return default
+        return member.node.value.lower() in _TRUE_WORDS
+
     def address(self, key: str, default: str | None = None) -> str:
         """Return an IP address and port, as 127.0.0.1:8080 or [::1]:8080."""
         text = self.text(key, default)
--- a/src/currantspur/standins/store.py
+++ b/src/currantspur/standins/store.py
@@ -140,10 +140,13 @@
 
     async def _read_page(self, request: web.BaseRequest) -> web.Response:
         table, start = request.query['table'], request.query.get('from', '')
+        end = request.query.get('to')
         keys = sorted(
             key
             for row_table, key in self.rows
-            if row_table == table and key >= start
+            if row_table == table
+            and key >= start
+            and (end is None or key < end)
         )
         return self._make_response(
             {
--- a/src/currantspur/tasks/admission.py
+++ b/src/currantspur/tasks/admission.py
@@ -56,7 +56,6 @@
         self.fleet_view = FleetView(
             live_instances=(),
             fleet_size=1,
-            requests_per_s_by_instance={},
             computed_at=clock.now(),
         )
         self.state.team_request_meter = RateMeter(clock.now())
@@ -116,17 +115,14 @@
                 self._update_rate_share(team, now)
 
     def _update_rate_share(self, team: Team, now: float) -> None:
-        demand = {
-            name: requests_per_s_by_team.get(team.name, 0.0)
-            for name, requests_per_s_by_team in (
-                self.fleet_view.requests_per_s_by_instance.items()
-            )
-        }
+        view = self.fleet_view
         share = share_rate(
             team.rate_per_s,
-            demand,
-            self.instance,
-            fleet_size=self.fleet_view.fleet_size,
+            own_demand_per_s=view.own_requests_per_s_by_team.get(
+                team.name, 0.0
+            ),
+            total_demand_per_s=view.requests_per_s_by_team.get(team.name, 0.0),
+            fleet_size=view.fleet_size,
         )
         rate_share = self.state.rate_shares.get(team.name)
         if rate_share is None:
--- a/src/currantspur/tasks/failover_store.py
+++ b/src/currantspur/tasks/failover_store.py
@@ -76,6 +76,12 @@
             table, WHOLE_TABLE, PEER_LONG_POLL_S
         )
 
+    async def read_range(
+        self, table: str, from_key: str, to_key: str
+    ) -> RowsResponse:
+        """Return rows of the store itself; peers serve whole tables only."""
+        return await self.store.read_range(table, from_key, to_key)
+
     async def poll_changes(
         self, table: str, *, after: int, wait_s: float
     ) -> RowsResponse:
--- a/src/currantspur/tasks/membership.py
+++ b/src/currantspur/tasks/membership.py
@@ -4,12 +4,19 @@
 from random import Random
 from typing import Any
 
+from currantspur.decisions.heartbeat_fanout import (
+    list_digest_recipients,
+    list_heartbeat_recipients,
+    list_zone_peers,
+)
 from currantspur.decisions.lookup import answer_lookup
 from currantspur.decisions.membership_table import MembershipTable
+from currantspur.decisions.zone_summary import build_digest
 from currantspur.messages import (
     FleetView,
     Heartbeat,
     Instance,
+    ListedInstances,
     LookupQuery,
     LookupResponse,
     Message,
@@ -17,6 +24,7 @@
     ShutdownStarted,
     TeamDemand,
     Tick,
+    ZoneDigest,
 )
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.journal import Journal
@@ -48,13 +56,14 @@
         'admission',
         'clock',
         'cross_region_demand',
+        'cross_region_digest',
+        'digest_number',
         'dispatcher',
         'get_revisions',
         'handlers',
         'heartbeat_port',
         'is_ready',
         'journal',
-        'listed_instances',
         'live_names',
         'membership_table',
         'on_peer_revisions',
@@ -98,9 +107,11 @@
         # No heartbeats are sent while this is None.
         self.heartbeat_port: HeartbeatPort | None = None
         self.sequence_number = 0
+        self.digest_number = 0
         # Requests per second by team, as last sent to other regions.
         self.cross_region_demand: Mapping[str, float] = {}
-        self.listed_instances: tuple[Instance, ...] = ()
+        # The digest as last sent to other regions.
+        self.cross_region_digest: ZoneDigest | None = None
         self.live_names: frozenset[str] = frozenset()
         self.membership_table = MembershipTable(
             Heartbeat(instance=own, incarnation=incarnation, sequence_number=0),
@@ -110,20 +121,13 @@
             ShutdownStarted: self._announce_shutdown,
             LookupQuery: self._answer_lookup,
             Heartbeat: self._record_heartbeat,
+            ListedInstances: self._update_listed_instances,
             ServiceLoad: self._update_busy_slots,
             TeamDemand: self._update_demand_and_send_heartbeat,
             Tick: self._publish_view,
+            ZoneDigest: self._record_digest,
         }
 
-    def update_listed_instances(self, listed: tuple[Instance, ...]) -> None:
-        """Replace the list of the store and publish a new fleet view.
-
-        Called directly by the registrar, which runs in the same event loop.
-        """
-        self.listed_instances = listed
-        self.membership_table.listed_count = len(listed)
-        self._publish_view()
-
     def receive(self, envelopes: Iterable[Envelope]) -> None:
         """Handle each message and set its reply."""
         for envelope in envelopes:
@@ -149,11 +153,29 @@
                 HEARTBEAT_INTERVAL_S * random.uniform(*JITTER_FACTORS)
             )
 
+    def _update_listed_instances(self, listed: ListedInstances) -> None:
+        self.membership_table.listed_instances = listed.instances
+        self._publish_view()
+
     def _record_heartbeat(self, heartbeat: Heartbeat) -> None:
         now = self.clock.now()
         self.on_peer_revisions(heartbeat.revisions, now)
         if self.membership_table.record_heartbeat(heartbeat, now):
             self._publish_view()
+            if heartbeat.is_leaving:
+                self._send_digest()
+
+    def _record_digest(self, digest: ZoneDigest) -> None:
+        now = self.clock.now()
+        self.on_peer_revisions(digest.revisions, now)
+        if not self.membership_table.zone_digests.record(digest, now):
+            return
+        if self.heartbeat_port is not None and not digest.is_relayed:
+            digest.is_relayed = True
+            self.heartbeat_port.send(
+                digest,
+                [peer.peer for peer in list_zone_peers(self.membership_table)],
+            )
 
     def _answer_lookup(self, query: LookupQuery) -> LookupResponse:
         return answer_lookup(
@@ -204,26 +226,56 @@
         self.sequence_number += 1
         own.sequence_number = self.sequence_number
         own.revisions = self.get_revisions()
-        peers = self.membership_table.list_peers(self.listed_instances)
         # All regions learn at once of an instance that starts or leaves.
-        is_cross_region_due = (
+        to_all_regions = (
             own.is_leaving
-            or self.sequence_number % CROSS_REGION_HEARTBEAT_EVERY == 1
-        )
-        sends_to_all_regions = is_cross_region_due or has_demand_changed(
-            self.cross_region_demand, own.requests_per_s_by_team
+            or self._is_cross_region_due()
+            or has_demand_changed(
+                self.cross_region_demand, own.requests_per_s_by_team
+            )
         )
-        if sends_to_all_regions:
+        if to_all_regions:
             self.cross_region_demand = own.requests_per_s_by_team
-        self.heartbeat_port.send(
-            own,
-            [
-                peer.peer
-                for peer in peers
-                if sends_to_all_regions
-                or not self.membership_table.is_cross_region(peer)
-            ],
+        recipients = list_heartbeat_recipients(
+            self.membership_table, to_all_regions=to_all_regions
+        )
+        self.heartbeat_port.send(own, [peer.peer for peer in recipients])
+        self._send_digest()
+
+    def _send_digest(self) -> None:
+        """Send the digest of the own zone, if this instance reports it."""
+        if self.heartbeat_port is None:
+            return
+        now = self.clock.now()
+        self.digest_number += 1
+        digest = build_digest(
+            self.membership_table, now, sequence_number=self.digest_number
         )
+        to_all_regions = self._is_cross_region_due() or has_zone_changed(
+            self.cross_region_digest, digest
+        )
+        recipients = [
+            peer.peer
+            for peer in list_digest_recipients(
+                self.membership_table, now, to_all_regions=to_all_regions
+            )
+        ]
+        if recipients and to_all_regions:
+            self.cross_region_digest = digest
+        if recipients:
+            self.heartbeat_port.send(digest, recipients)
+
+    def _is_cross_region_due(self) -> bool:
+        return self.sequence_number % CROSS_REGION_HEARTBEAT_EVERY == 1
+
+
+def has_zone_changed(before: ZoneDigest | None, after: ZoneDigest) -> bool:
+    """Return whether live instances or the demand of a zone changed a lot."""
+    if before is None:
+        return True
+    return before.live_instances != after.live_instances or has_demand_changed(
+        before.requests_per_s_by_team, after.requests_per_s_by_team
+    )
 
 
 def has_demand_changed(
--- a/src/currantspur/tasks/ports.py
+++ b/src/currantspur/tasks/ports.py
@@ -5,10 +5,10 @@
 
 from currantspur.messages import (
     Heartbeat,
-    Instance,
     OutgoingRequest,
     ResponseChunk,
     ResponseHead,
+    ZoneDigest,
 )
 from currantspur.messages.table_rows import RowsResponse
 from currantspur.messages.targets import Target
@@ -23,6 +23,12 @@
     async def read(self, table: str) -> RowsResponse:
         """Return all rows of a table; raise StoreAwayError if unreachable."""
 
+    @abstractmethod
+    async def read_range(
+        self, table: str, from_key: str, to_key: str
+    ) -> RowsResponse:
+        """Return the rows from a key up to, but not including, another."""
+
     @abstractmethod
     async def poll_changes(
         self, table: str, *, after: int, wait_s: float
@@ -84,8 +90,10 @@
     __slots__ = ()
 
     @abstractmethod
-    def send(self, heartbeat: Heartbeat, addresses: Iterable[str]) -> None:
-        """Send a heartbeat to each address; lost ones are not sent again."""
+    def send(
+        self, message: Heartbeat | ZoneDigest, addresses: Iterable[str]
+    ) -> None:
+        """Send a message to each address; lost ones are not sent again."""
 
     @abstractmethod
     def close(self) -> None:
@@ -100,17 +108,3 @@
     @abstractmethod
     async def read(self, limit_bytes: int) -> bytes:
         """Return the whole body; raise BodyTooLargeError or BodyCutError."""
-
-
-class InstanceCodec(ABC):
-    """Interface that encodes and decodes instances as rows of the store."""
-
-    __slots__ = ()
-
-    @abstractmethod
-    def encode(self, instance: Instance) -> bytes:
-        """Return the encoded row of an instance."""
-
-    @abstractmethod
-    def decode(self, encoded: bytes) -> Instance | None:
-        """Return the instance of a row, or None if the row is malformed."""
--- a/src/currantspur/tasks/registrar.py
+++ b/src/currantspur/tasks/registrar.py
@@ -1,30 +1,41 @@
-"""Register this instance in the store and read the list of instances."""
+"""Register this instance in the store and read the list of its region."""
 
-from collections.abc import Awaitable, Callable, Iterable, Iterator
+import asyncio
+from collections.abc import Awaitable, Callable
 from random import Random
 
 from currantspur.errors import StoreAwayError
 from currantspur.messages import Instance
+from currantspur.pipelines.instance_rows import InstanceCodec, decode_instances
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.journal import Journal
-from currantspur.tasks.membership import Membership
-from currantspur.tasks.ports import InstanceCodec, Store
+from currantspur.tasks.mailbox import Mailbox
+from currantspur.tasks.ports import Store
 
 INSTANCES_TABLE = 'instances'
 RETRY_DELAY_S = 0.5
-# Heartbeats announce instances that start; the list is read again to find those
-# whose heartbeats were all lost.
-LIST_REFRESH_S = 20.0
 # Factors of the delays: instances that start together must not call together.
 JITTER_FACTORS = (0.6, 1.4)
+# When the whole fleet starts for the first time, all have registered by then.
+FIRST_START_DELAY_S = 0.6
+# Tables are read from the store itself if no list of relays is known by then.
+MAX_LIST_WAIT_S = 1.5
+KEY_SEPARATOR = '/'
+# The character after the separator: it ends the range of a prefix.
+AFTER_SEPARATOR = chr(ord(KEY_SEPARATOR) + 1)
 
 
 class Registrar:
-    """Register this instance once and reread the list of instances."""
+    """Register this instance once and learn the others of its region.
+
+    Changes of the list follow by the table, and other regions by it too.
+    """
 
     __slots__ = (
         'clock',
         'codec',
+        'has_list',
+        'is_first_start',
         'journal',
         'membership',
         'own',
@@ -38,10 +49,11 @@
         own: Instance,
         store: Store,
         codec: InstanceCodec,
-        membership: Membership,
+        membership: Mailbox,
         clock: Clock,
         journal: Journal,
         random: Random,
+        is_first_start: bool,
     ) -> None:
         self.own = own
         self.store = store
@@ -50,15 +62,32 @@
         self.clock = clock
         self.journal = journal
         self.random = random
+        self.is_first_start = is_first_start
+        self.has_list = asyncio.Event()
+
+    @property
+    def key(self) -> str:
+        """The key of the row, which groups the rows of a region."""
+        own = self.own
+        return KEY_SEPARATOR.join((own.region, own.availability_zone, own.name))
 
     async def run(self) -> None:
-        """Register, then reread the list at intervals until cancelled."""
+        """Register and read the list of the region, then return."""
         await self._retry_until_done(self._register)
-        while True:
-            await self._retry_until_done(self._refresh_list)
-            await self.clock.sleep(
-                LIST_REFRESH_S * self.random.uniform(*JITTER_FACTORS)
-            )
+        if self.is_first_start:
+            await self.clock.sleep(FIRST_START_DELAY_S)
+        await self._retry_until_done(self._read_region)
+        self.has_list.set()
+
+    async def wait_for_list(self) -> None:
+        """Return when the list was read, at most MAX_LIST_WAIT_S later."""
+        waiting = asyncio.ensure_future(self.has_list.wait())
+        timer = asyncio.ensure_future(self.clock.sleep(MAX_LIST_WAIT_S))
+        await asyncio.wait(
+            (waiting, timer), return_when=asyncio.FIRST_COMPLETED
+        )
+        waiting.cancel()
+        timer.cancel()
 
     async def deregister(self) -> None:
         """Remove this instance from the list of the store.
@@ -67,28 +96,24 @@
         not raised.
         """
         try:
-            await self.store.write(INSTANCES_TABLE, {self.own.name: None})
+            await self.store.write(INSTANCES_TABLE, {self.key: None})
         except StoreAwayError as error:
             self.journal.note('leave_not_written', cause=str(error))
 
     async def _register(self) -> None:
         await self.store.write(
-            INSTANCES_TABLE, {self.own.name: self.codec.encode(self.own)}
+            INSTANCES_TABLE, {self.key: self.codec.encode(self.own)}
         )
 
-    async def _refresh_list(self) -> None:
-        response = await self.store.read(INSTANCES_TABLE)
-        self.membership.update_listed_instances(
-            tuple(self._decode_rows(response.rows_by_key.values()))
+    async def _read_region(self) -> None:
+        response = await self.store.read_range(
+            INSTANCES_TABLE,
+            f'{self.own.region}{KEY_SEPARATOR}',
+            f'{self.own.region}{AFTER_SEPARATOR}',
+        )
+        await self.membership.ask(
+            decode_instances(self.codec, response.rows_by_key.values())
         )
-
-    def _decode_rows(
-        self, values: Iterable[bytes | None]
-    ) -> Iterator[Instance]:
-        for value in values:
-            instance = self.codec.decode(value) if value else None
-            if instance is not None:
-                yield instance
 
     async def _retry_until_done(
         self, step: Callable[[], Awaitable[None]]
@@ -96,7 +121,8 @@
         while True:
             try:
                 await step()
-            except StoreAwayError:
+            except StoreAwayError as error:
+                self.journal.note('register_delayed', cause=str(error))
                 await self.clock.sleep(
                     RETRY_DELAY_S * self.random.uniform(*JITTER_FACTORS)
                 )
--- a/src/currantspur/tasks/row_relay.py
+++ b/src/currantspur/tasks/row_relay.py
@@ -2,12 +2,15 @@
 
 from collections.abc import Iterable
 
-from currantspur.messages import TableSnapshot
+from currantspur.messages import Message, TableSnapshot
 from currantspur.messages.table_rows import RowsRequest, RowsResponse
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.mailbox import Envelope
 from currantspur.tasks.task import Task
 
+# Peers that ask within this time for the same changes get the same response,
+# which is encoded only once. Its age of the last outage is wrong by as much.
+RESPONSE_REUSE_S = 0.5
 # Keys of removed rows that are kept per table, so that peers learn of removals.
 MAX_REMOVED_KEYS = 1000
 
@@ -63,6 +66,16 @@
         return changed
 
 
+class CachedResponse(Message):
+    """A response to peers that asked for the same changes, and its time."""
+
+    __slots__ = ('made_at', 'response')
+
+    def __init__(self, response: RowsResponse, at: float) -> None:
+        self.response = response
+        self.made_at = at
+
+
 class RowRelay(Task):
     """Answer row requests of peers at once or when their table changes.
 
@@ -71,13 +84,15 @@
     it can be answered.
     """
 
-    __slots__ = ('clock', 'histories', 'waiting_requests')
+    __slots__ = ('clock', 'histories', 'responses', 'waiting_requests')
 
     def __init__(self, *, clock: Clock) -> None:
         super().__init__()
         self.clock = clock
         self.histories: dict[str, TableHistory] = {}
         self.waiting_requests: list[tuple[Envelope, RowsRequest]] = []
+        # By table and revision after which changes were requested.
+        self.responses: dict[tuple[str, int], CachedResponse] = {}
 
     def receive(self, envelopes: Iterable[Envelope]) -> None:
         """Apply snapshots, then reply to all requests that can be answered."""
@@ -92,6 +107,7 @@
         ]
 
     def _record_snapshot(self, snapshot: TableSnapshot) -> None:
+        self.responses.clear()
         history = self.histories.get(snapshot.table)
         if history is None:
             self.histories[snapshot.table] = TableHistory(snapshot)
@@ -109,16 +125,26 @@
             # Changes since that revision are not known here.
             envelope.set_reply(None)
             return True
-        changed = history.list_changed(request.after_revision)
-        if request.after_revision >= 0 and not changed:
+        response = self._find_response(request, history)
+        if request.after_revision >= 0 and not response.rows_by_key:
             return False
+        envelope.set_reply(response)
+        return True
+
+    def _find_response(
+        self, request: RowsRequest, history: TableHistory
+    ) -> RowsResponse:
+        now = self.clock.now()
+        key = (request.table, request.after_revision)
+        cached = self.responses.get(key)
+        if cached is not None and now - cached.made_at < RESPONSE_REUSE_S:
+            return cached.response
         snapshot = history.snapshot
-        envelope.set_reply(
-            RowsResponse(
-                rows_by_key=changed,
-                revision=snapshot.revision,
-                newest_row_revision=snapshot.newest_row_revision,
-                outage_ended_s_ago=self.clock.now() - snapshot.outage_ended_at,
-            )
+        response = RowsResponse(
+            rows_by_key=history.list_changed(request.after_revision),
+            revision=snapshot.revision,
+            newest_row_revision=snapshot.newest_row_revision,
+            outage_ended_s_ago=now - snapshot.outage_ended_at,
         )
-        return True
+        self.responses[key] = CachedResponse(response, now)
+        return response
--- a/src/currantspur/tasks/table_follower.py
+++ b/src/currantspur/tasks/table_follower.py
@@ -18,8 +18,10 @@
 # found sooner, by keep-alive probes and by the revisions of peers.
 LONG_POLL_S = 10.0
 # Peers learn of a change at about the same time; a follower that still lacks it
-# after this time reads the table again by a new call.
+# after this time asks again by a new call.
 STALE_AFTER_S = 0.4
+# A change passes up to two relays, each of which may delay it by BATCH_DELAY_S.
+RELAYED_STALE_AFTER_S = 0.9
 # Changes come in groups; the next call fetches all that follow within this
 # time. It is less than STALE_AFTER_S, and only a tenth of the time that a
 # change may take.
@@ -48,6 +50,7 @@
         'revision',
         'row_relay',
         'rows',
+        'stale_after_s',
         'store',
         'subscribers',
         'table',
@@ -90,8 +93,14 @@
         # Newest row revision that any peer has reported.
         self.peer_revision = -1
         self.behind_since: float | None = None
+        self.stale_after_s = STALE_AFTER_S
         self.pending_call: asyncio.Task[RowsResponse] | None = None
 
+    async def run_after(self, preparation: Coroutine[Any, Any, None]) -> None:
+        """Follow the table once the preparation is done."""
+        await preparation
+        await self.run()
+
     async def run(self) -> None:
         """Read the table and follow it until cancelled.
 
@@ -111,13 +120,19 @@
             else:
                 backoff_s = MIN_BACKOFF_S
 
+    def follow_relays(self, *, is_relayed: bool) -> None:
+        """Allow for the delay of relays if the table is read through some."""
+        self.stale_after_s = (
+            RELAYED_STALE_AFTER_S if is_relayed else STALE_AFTER_S
+        )
+
     def check_peer_revision(
         self, peer_newest_row_revision: int, at: float
     ) -> None:
         """Compare the newest row revision of a peer with that of this follower.
 
-        If this one stays behind for more than STALE_AFTER_S, cancel its call,
-        report the source as stale and read the whole table again.
+        If this one stays behind for longer than `stale_after_s`, cancel its
+        call, report the source as stale and ask the next one.
         """
         self.peer_revision = max(self.peer_revision, peer_newest_row_revision)
         if self.newest_row_revision >= self.peer_revision:
@@ -126,11 +141,17 @@
         if self.behind_since is None:
             self.behind_since = at
         if (
-            at - self.behind_since > STALE_AFTER_S
+            at - self.behind_since > self.stale_after_s
             and self.pending_call is not None
         ):
+            self.journal.note(
+                'source_behind',
+                table=self.table,
+                known=self.newest_row_revision,
+                newest=self.peer_revision,
+                behind_s=round(at - self.behind_since, 3),
+            )
             self.behind_since = at
-            self.revision = -1
             self.store.report_stale(self.table)
             self.pending_call.cancel()
 
--- /dev/null
+++ b/src/currantspur/wire/datagrams.py
@@ -0,0 +1,69 @@
+"""Pack documents with rates of teams into compressed datagrams."""
+
+import zlib
+from collections.abc import Mapping
+from typing import Any
+
+import orjson
+
+RATE_DECIMALS = 1
+SLOTS_DECIMALS = 2
+# While a datagram is too large, the lowest 1 + count // REMOVAL_DIVISOR rates
+# are removed at a time.
+REMOVAL_DIVISOR = 16
+# Longer messages, which no instance sends, are truncated and so malformed.
+MAX_DECOMPRESSED_BYTES = 65_536
+
+
+def pack_with_rates(
+    document: Mapping[str, Any], rates: Mapping[str, float], max_bytes: int
+) -> bytes:
+    """Return a document and rates by team as compressed JSON.
+
+    Rates below 0.1 requests per second are omitted, and so are the lowest
+    rates if the datagram would be larger than `max_bytes`.
+    """
+    kept = {
+        team: round(rate, RATE_DECIMALS)
+        for team, rate in sorted(
+            rates.items(), key=lambda pair: pair[1], reverse=True
+        )
+        if rate >= 10**-RATE_DECIMALS
+    }
+    datagram = _compress(document, kept)
+    while kept and len(datagram) > max_bytes:
+        for _ in range(1 + len(kept) // REMOVAL_DIVISOR):
+            kept.popitem()
+        datagram = _compress(document, kept)
+    return datagram
+
+
+def unpack(datagram: bytes) -> Any:
+    """Return the document with its rates; raise ValueError if malformed."""
+    try:
+        text = zlib.decompressobj().decompress(datagram, MAX_DECOMPRESSED_BYTES)
+    except zlib.error as error:
+        raise ValueError('datagram is not zlib data') from error
+    return orjson.loads(text)
+
+
+def round_slots(slots_by_service: Mapping[str, float]) -> dict[str, float]:
+    """Return slots with the decimals that are sent."""
+    return {
+        service: round(slots, SLOTS_DECIMALS)
+        for service, slots in slots_by_service.items()
+    }
+
+
+def parse_amounts(document: Any) -> dict[str, float]:
+    """Return numbers by name."""
+    return {str(name): float(amount) for name, amount in document.items()}
+
+
+def parse_revisions(document: Any) -> dict[str, int]:
+    """Return row revisions by table."""
+    return {str(table): int(revision) for table, revision in document.items()}
+
+
+def _compress(document: Mapping[str, Any], rates: Mapping[str, float]) -> bytes:
+    return zlib.compress(orjson.dumps({**document, 'demand': rates}))
--- a/src/currantspur/wire/heartbeats.py
+++ b/src/currantspur/wire/heartbeats.py
@@ -1,27 +1,28 @@
-"""Exchange heartbeats over UDP and encode instances as JSON."""
+"""Exchange heartbeats and zone digests over UDP."""
 
 import asyncio
-import zlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import Any, cast
 
 import orjson
 
 from currantspur.errors import MALFORMED_INPUT_ERRORS
-from currantspur.messages import Heartbeat, Instance, fields
+from currantspur.messages import Heartbeat, Instance, ZoneDigest, fields
+from currantspur.pipelines.instance_rows import InstanceCodec
 from currantspur.settings.document import split_address
 from currantspur.tasks.mailbox import Mailbox
-from currantspur.tasks.ports import HeartbeatPort, InstanceCodec
+from currantspur.tasks.ports import HeartbeatPort
+from currantspur.wire.datagrams import (
+    pack_with_rates,
+    parse_amounts,
+    parse_revisions,
+    round_slots,
+    unpack,
+)
+from currantspur.wire.zone_digests import encode_digest, parse_digest
 
 # A larger datagram would be sent in IP fragments, each of which may be lost.
 MAX_DATAGRAM_BYTES = 1400
-RATE_DECIMALS = 1
-SLOTS_DECIMALS = 2
-# While a datagram is too large, the lowest 1 + count // REMOVAL_DIVISOR rates
-# are removed at a time.
-REMOVAL_DIVISOR = 16
-# Longer messages, which no instance sends, are truncated and so malformed.
-MAX_DECOMPRESSED_BYTES = 65_536
 
 
 class JsonInstanceCodec(InstanceCodec):
@@ -50,7 +51,7 @@
     __slots__ = ('mailbox', 'malformed_count', 'transport')
 
     def __init__(self, mailbox: Mailbox) -> None:
-        """Post the heartbeats of peers to a mailbox."""
+        """Post the heartbeats and digests of peers to a mailbox."""
         self.mailbox = mailbox
         self.malformed_count = 0
         self.transport: asyncio.DatagramTransport | None = None
@@ -60,21 +61,23 @@
         self.transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
-        """Post a heartbeat to the mailbox; count a malformed datagram."""
-        heartbeat = decode_heartbeat(data)
-        if heartbeat is None:
+        """Post a message to the mailbox; count a malformed datagram."""
+        message = decode_datagram(data)
+        if message is None:
             self.malformed_count += 1
         else:
-            self.mailbox.post(heartbeat)
+            self.mailbox.post(message)
 
-    def send(self, heartbeat: Heartbeat, addresses: Iterable[str]) -> None:
-        """Send a heartbeat to each address without waiting.
+    def send(
+        self, message: Heartbeat | ZoneDigest, addresses: Iterable[str]
+    ) -> None:
+        """Send a message to each address without waiting.
 
         Do nothing before the socket is open and after it is closed.
         """
         if self.transport is None or self.transport.is_closing():
             return
-        datagram = encode_heartbeat(heartbeat)
+        datagram = encode_datagram(message)
         for address in addresses:
             self.transport.sendto(datagram, split_address(address))
 
@@ -95,81 +98,53 @@
     return protocol
 
 
-def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
-    """Return a heartbeat as a datagram of compressed JSON.
+def encode_datagram(message: Heartbeat | ZoneDigest) -> bytes:
+    """Return a heartbeat or a zone digest as a datagram."""
+    if isinstance(message, ZoneDigest):
+        return encode_digest(message)
+    return encode_heartbeat(message)
 
-    Rates below 0.1 requests per second are omitted, and so are the lowest
-    rates if the datagram would exceed MAX_DATAGRAM_BYTES.
-    """
-    rates = {
-        team: round(rate, RATE_DECIMALS)
-        for team, rate in sorted(
-            heartbeat.requests_per_s_by_team.items(),
-            key=lambda pair: pair[1],
-            reverse=True,
-        )
-        if rate >= 10**-RATE_DECIMALS
+
+def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
+    """Return a heartbeat as a datagram of at most MAX_DATAGRAM_BYTES."""
+    document = {
+        'instance': _instance_to_dict(heartbeat.instance),
+        'life': heartbeat.incarnation,
+        'number': heartbeat.sequence_number,
+        'leaving': heartbeat.is_leaving,
+        'ready': heartbeat.is_ready,
+        'revisions': heartbeat.revisions,
+        'work': round_slots(heartbeat.busy_slots_by_service),
+        'digests': heartbeat.reads_digests,
     }
-    datagram = _compress(heartbeat, rates)
-    while rates and len(datagram) > MAX_DATAGRAM_BYTES:
-        for _ in range(1 + len(rates) // REMOVAL_DIVISOR):
-            rates.popitem()
-        datagram = _compress(heartbeat, rates)
-    return datagram
+    return pack_with_rates(
+        document, heartbeat.requests_per_s_by_team, MAX_DATAGRAM_BYTES
+    )
 
 
-def decode_heartbeat(datagram: bytes) -> Heartbeat | None:
-    """Return the heartbeat, or None if the datagram is malformed."""
+def decode_datagram(datagram: bytes) -> Heartbeat | ZoneDigest | None:
+    """Return the message of a datagram, or None if it is malformed."""
     try:
-        return _parse_heartbeat(orjson.loads(_decompress(datagram)))
+        document = unpack(datagram)
+        if 'reporter' in document:
+            return parse_digest(document)
+        return _parse_heartbeat(document)
     except MALFORMED_INPUT_ERRORS:
         return None
 
 
-def _decompress(datagram: bytes) -> bytes:
-    try:
-        return zlib.decompressobj().decompress(datagram, MAX_DECOMPRESSED_BYTES)
-    except zlib.error as error:
-        raise ValueError('datagram is not zlib data') from error
-
-
-def _compress(heartbeat: Heartbeat, rates: Mapping[str, float]) -> bytes:
-    encoded = orjson.dumps(
-        {
-            'instance': _instance_to_dict(heartbeat.instance),
-            'life': heartbeat.incarnation,
-            'number': heartbeat.sequence_number,
-            'leaving': heartbeat.is_leaving,
-            'ready': heartbeat.is_ready,
-            'demand': rates,
-            'revisions': heartbeat.revisions,
-            'work': {
-                service: round(slots, SLOTS_DECIMALS)
-                for service, slots in heartbeat.busy_slots_by_service.items()
-            },
-        }
-    )
-    return zlib.compress(encoded)
-
-
 def _parse_heartbeat(document: Any) -> Heartbeat:
-    rates, revisions = document['demand'], document['revisions']
-    busy_slots = document['work']
     return Heartbeat(
         instance=_parse_instance(document['instance']),
         incarnation=int(document['life']),
         sequence_number=int(document['number']),
         is_leaving=bool(document['leaving']),
         is_ready=bool(document['ready']),
-        requests_per_s_by_team={
-            str(team): float(rate) for team, rate in rates.items()
-        },
-        revisions={
-            str(table): int(revision) for table, revision in revisions.items()
-        },
-        busy_slots_by_service={
-            str(service): float(slots) for service, slots in busy_slots.items()
-        },
+        requests_per_s_by_team=parse_amounts(document['demand']),
+        revisions=parse_revisions(document['revisions']),
+        busy_slots_by_service=parse_amounts(document['work']),
+        # Builds without digests do not have the field.
+        reads_digests=bool(document.get('digests', False)),
     )
 
 
--- a/src/currantspur/wire/relays.py
+++ b/src/currantspur/wire/relays.py
@@ -1,7 +1,9 @@
 """Exchange table rows between instances over HTTP."""
 
 import asyncio
+import zlib
 from base64 import b64decode, b64encode
+from collections import deque
 from http import HTTPStatus
 from typing import Any, Final
 
@@ -30,6 +32,12 @@
 from currantspur.wire.sockets import open_keepalive_socket
 
 ROWS_PATH = '/rows'
+# Rows as text compress better than in Base64, which older builds expect.
+FORM_KEY = 'form'
+TEXT_FORM = 'text'
+BASE64_FORM = 'base64'
+# Many peers ask for the same changes of the three tables at about once.
+MAX_CACHED_BODIES = 6
 # Time for the response to arrive after the wait of a long poll.
 LONG_POLL_MARGIN_S = 0.5
 # A peer that asks for a longer wait gets this one.
@@ -41,10 +49,14 @@
 class RowRelayHandler:
     """Respond to peers with the table rows that this instance has read."""
 
-    __slots__ = ('row_relay',)
+    __slots__ = ('bodies', 'row_relay')
 
     def __init__(self, row_relay: Mailbox) -> None:
         self.row_relay = row_relay
+        # The latest responses with their encoded bodies, by form of the rows.
+        self.bodies: deque[tuple[RowsResponse, str, bytes]] = deque(
+            maxlen=MAX_CACHED_BODIES
+        )
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Return the rows changed after a revision; wait until there are any.
@@ -67,11 +79,25 @@
         except TimeoutError:
             # Nothing has changed, or this instance has not read the table yet.
             return web.Response(status=HTTPStatus.NO_CONTENT)
-        response = web.Response(
-            body=encode_rows(rows_response), content_type='application/json'
+        form = query.get(FORM_KEY, BASE64_FORM)
+        return web.Response(
+            body=self._find_body(rows_response, form),
+            content_type='application/json',
+            headers={'Content-Encoding': 'deflate'},
         )
-        response.enable_compression()
-        return response
+
+    def _find_body(
+        self, rows_response: RowsResponse | None, form: str
+    ) -> bytes:
+        """Return the compressed rows; a body made lately is used again."""
+        if rows_response is None:
+            return zlib.compress(HISTORY_LOST_BODY)
+        for response, known_form, body in self.bodies:
+            if response is rows_response and known_form == form:
+                return body
+        body = zlib.compress(encode_rows(rows_response, form=form))
+        self.bodies.append((rows_response, form, body))
+        return body
 
 
 class HttpRelayClient(RelayPort):
@@ -95,7 +121,12 @@
         Raise StoreAwayError if the peer gives no usable response, and
         HistoryLostError if it does not know the changes after that revision.
         """
-        query = {'table': table, 'after': str(after), 'wait_s': str(wait_s)}
+        query = {
+            'table': table,
+            'after': str(after),
+            'wait_s': str(wait_s),
+            FORM_KEY: TEXT_FORM,
+        }
         timeout = make_progress_timeout(wait_s + LONG_POLL_MARGIN_S)
         try:
             async with self.session.get(
@@ -113,16 +144,20 @@
         await self.session.close()
 
 
-def encode_rows(rows_response: RowsResponse | None) -> bytes:
-    """Return rows as JSON; None, for a lost history, becomes null."""
-    if rows_response is None:
-        return HISTORY_LOST_BODY
+def encode_rows(rows_response: RowsResponse, *, form: str) -> bytes:
+    """Return rows as JSON; rows that are no text are always Base64."""
+    texts: dict[str, str] = {}
+    encoded: dict[str, str | None] = {}
+    for key, row in rows_response.rows_by_key.items():
+        text = _decode_text(row) if form == TEXT_FORM else None
+        if text is None:
+            encoded[key] = None if row is None else b64encode(row).decode()
+        else:
+            texts[key] = text
     return orjson.dumps(
         {
-            'rows': {
-                key: None if row is None else b64encode(row).decode()
-                for key, row in rows_response.rows_by_key.items()
-            },
+            'rows': encoded,
+            'texts': texts,
             'revision': rows_response.revision,
             'changed': rows_response.newest_row_revision,
             'outage_ended_s_ago': rows_response.outage_ended_s_ago,
@@ -130,6 +165,13 @@
     )
 
 
+def _decode_text(row: bytes | None) -> str | None:
+    try:
+        return None if row is None else row.decode()
+    except UnicodeDecodeError:
+        return None
+
+
 def decode_rows(status: int, body: bytes, after: int) -> RowsResponse:
     """Return the rows that a peer sent; status 204 means no changes.
 
@@ -152,7 +194,11 @@
     ended_s_ago = document['outage_ended_s_ago']
     return RowsResponse(
         rows_by_key={
-            key: _decode_row(row) for key, row in document['rows'].items()
+            **{key: _decode_row(row) for key, row in document['rows'].items()},
+            **{
+                key: text.encode()
+                for key, text in document.get('texts', {}).items()
+            },
         },
         revision=int(document['revision']),
         newest_row_revision=int(document['changed']),
--- /dev/null
+++ b/src/currantspur/wire/zone_digests.py
@@ -0,0 +1,65 @@
+"""Encode zone digests as datagrams."""
+
+from typing import Any
+
+from currantspur.messages import Instance, ZoneDigest
+from currantspur.wire.datagrams import (
+    pack_with_rates,
+    parse_amounts,
+    parse_revisions,
+    round_slots,
+)
+
+# Three IP fragments: 40 instances and 150 teams. The next digest replaces one
+# of which a fragment is lost.
+MAX_DIGEST_BYTES = 4200
+
+
+def encode_digest(digest: ZoneDigest) -> bytes:
+    """Return a digest as a datagram of at most MAX_DIGEST_BYTES."""
+    document = {
+        'zone': digest.availability_zone,
+        'region': digest.region,
+        'reporter': digest.reporter,
+        'life': digest.incarnation,
+        'number': digest.sequence_number,
+        'relayed': digest.is_relayed,
+        'counted': digest.counted_instances,
+        'live': [
+            (each.name, each.address, each.peer, each.link_mbps)
+            for each in digest.live_instances
+        ],
+        'revisions': digest.revisions,
+        'work': round_slots(digest.busy_slots_by_service),
+    }
+    return pack_with_rates(
+        document, digest.requests_per_s_by_team, MAX_DIGEST_BYTES
+    )
+
+
+def parse_digest(document: Any) -> ZoneDigest:
+    """Return the digest; raise one of MALFORMED_INPUT_ERRORS."""
+    zone, region = str(document['zone']), str(document['region'])
+    return ZoneDigest(
+        availability_zone=zone,
+        region=region,
+        reporter=str(document['reporter']),
+        incarnation=int(document['life']),
+        sequence_number=int(document['number']),
+        is_relayed=bool(document['relayed']),
+        counted_instances=int(document['counted']),
+        live_instances=tuple(
+            Instance(
+                name=str(name),
+                availability_zone=zone,
+                region=region,
+                address=str(address),
+                peer=str(peer),
+                link_mbps=float(link_mbps),
+            )
+            for name, address, peer, link_mbps in document['live']
+        ),
+        revisions=parse_revisions(document['revisions']),
+        busy_slots_by_service=parse_amounts(document['work']),
+        requests_per_s_by_team=parse_amounts(document['demand']),
+    )
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -153,20 +153,23 @@
 
 
 @pytest.mark.parametrize(
-    ('demand', 'admitted_count'),
+    ('fleet_size', 'total_per_s', 'admitted_count'),
     [
         # Alone: half a second of the whole rate, but at most the burst.
-        ({'own': {'one': 50.0}}, 10),
+        (1, 50.0, 10),
         # In proportion to the demand at each instance.
-        ({'own': {'one': 50.0}, 'b': {'one': 150.0}}, 2),
+        (2, 200.0, 2),
     ],
 )
-def test_instance_admits_its_part_of_team_rate(demand, admitted_count):
+def test_instance_admits_its_part_of_team_rate(
+    fleet_size, total_per_s, admitted_count
+):
     task = make_task()
     view = FleetView(
         live_instances=(),
-        fleet_size=len(demand),
-        requests_per_s_by_instance=demand,
+        fleet_size=fleet_size,
+        requests_per_s_by_team={'one': total_per_s},
+        own_requests_per_s_by_team={'one': 50.0},
         computed_at=0.0,
     )
     task.handle_message(view)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -158,7 +158,6 @@
     view = FleetView(
         live_instances=(),
         fleet_size=2,
-        requests_per_s_by_instance={},
         computed_at=0.0,
         busy_slots_by_region={
             'n': {'s': own_busy_slots},
@@ -191,7 +190,6 @@
     view = FleetView(
         live_instances=(),
         fleet_size=size,
-        requests_per_s_by_instance={},
         computed_at=0.0,
     )
     service = Service(
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -8,7 +8,7 @@
 from currantspur.wire.heartbeats import (
     MAX_DATAGRAM_BYTES,
     JsonInstanceCodec,
-    decode_heartbeat,
+    decode_datagram,
     encode_heartbeat,
 )
 
@@ -42,7 +42,7 @@
     ],
 )
 def test_encoded_heartbeat_decodes_to_the_same(heartbeat):
-    assert decode_heartbeat(encode_heartbeat(heartbeat)) == heartbeat
+    assert decode_datagram(encode_heartbeat(heartbeat)) == heartbeat
 
 
 def test_oversized_heartbeat_omits_lowest_rates():
@@ -55,14 +55,14 @@
     )
     datagram = encode_heartbeat(heartbeat)
     assert len(datagram) <= MAX_DATAGRAM_BYTES
-    kept = decode_heartbeat(datagram).requests_per_s_by_team
+    kept = decode_datagram(datagram).requests_per_s_by_team
     assert 'team-499' in kept
     assert 'team-0' not in kept
 
 
 @given(st.binary(max_size=200))
 def test_arbitrary_bytes_decode_to_none(datagram):
-    assert decode_heartbeat(datagram) is None
+    assert decode_datagram(datagram) is None
     assert JsonInstanceCodec().decode(datagram) is None
 
 
@@ -71,11 +71,11 @@
 )
 def test_json_of_another_shape_decodes_to_none(encoded):
     assert JsonInstanceCodec().decode(encoded) is None
-    assert decode_heartbeat(zlib.compress(encoded)) is None
+    assert decode_datagram(zlib.compress(encoded)) is None
 
 
 def test_oversized_decompressed_datagram_is_none():
-    assert decode_heartbeat(zlib.compress(bytes(10_000_000))) is None
+    assert decode_datagram(zlib.compress(bytes(10_000_000))) is None
 
 
 def test_encoded_instance_decodes_to_the_same():
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -36,7 +36,7 @@
         is_ready=lambda: True,
         on_view=lambda view: None,
     )
-    membership.listed_instances = (
+    membership.membership_table.listed_instances = (
         make_instance('near', 'n'),
         make_instance('far', 's'),
     )
--- a/tests/test_membership_table.py
+++ b/tests/test_membership_table.py
@@ -113,18 +113,20 @@
     ('listed', 'at', 'size'),
     [
         # The fleet starts together and heartbeats are still missing.
-        (None, 0.1, DEFAULT_FLEET_SIZE),
+        (0, 0.1, DEFAULT_FLEET_SIZE),
         (10, 0.1, 10),
         (1, 0.1, 2),
         # Later only instances heard from count, as the list may be stale.
         (10, STARTUP_WINDOW_S, 2),
-        (None, STARTUP_WINDOW_S, 2),
+        (0, STARTUP_WINDOW_S, 2),
     ],
 )
 def test_fleet_size_counts_list_just_after_start(listed, at, size):
     table = MembershipTable(make_heartbeat('own', 0), started_at=0.0)
     table.record_heartbeat(make_heartbeat('b', 1), 0.0)
-    table.listed_count = listed
+    table.listed_instances = tuple(
+        make_instance(f'listed-{number}') for number in range(listed)
+    )
     assert table.build_view(at).fleet_size == size
 
 
@@ -138,7 +140,8 @@
     table = MembershipTable(make_heartbeat('own', 0))
     table.record_heartbeat(make_heartbeat('b', 1), 0)
     listed = [make_instance('own'), make_instance('c'), make_instance('b')]
-    names = sorted(peer.name for peer in table.list_peers(listed))
+    table.listed_instances = tuple(listed)
+    names = sorted(peer.name for peer in table.list_peers())
     assert names == ['b', 'c']
 
 
@@ -197,7 +200,6 @@
     view = FleetView(
         live_instances=live,
         fleet_size=4,
-        requests_per_s_by_instance={},
         computed_at=0.0,
     )
     query = LookupQuery(region=region, availability_zone=zone)
--- a/tests/test_rate_share.py
+++ b/tests/test_rate_share.py
@@ -7,6 +7,19 @@
 NAMES = ('a', 'b', 'c', 'd')
 
 
+def divide(rate, demand_by_name):
+    """Return the shares of all instances."""
+    return tuple(
+        share_rate(
+            rate,
+            own_demand_per_s=demand_by_name.get(name, 0.0),
+            total_demand_per_s=sum(demand_by_name.values()),
+            fleet_size=len(NAMES),
+        )
+        for name in NAMES
+    )
+
+
 @pytest.mark.parametrize(
     ('rate', 'demand', 'shares'),
     [
@@ -21,10 +34,7 @@
 )
 def test_rate_is_divided_by_demand(rate, demand, shares):
     demand_by_name = dict(zip(NAMES, demand, strict=False))
-    assert shares == tuple(
-        share_rate(rate, demand_by_name, name, fleet_size=len(NAMES))
-        for name in NAMES
-    )
+    assert shares == divide(rate, demand_by_name)
 
 
 @given(
@@ -33,9 +43,7 @@
 )
 def test_shares_sum_to_at_most_the_rate(rate, demand):
     demand_by_name = dict(zip(NAMES, demand, strict=True))
-    shares = [
-        share_rate(rate, demand_by_name, name, fleet_size=4) for name in NAMES
-    ]
+    shares = divide(rate, demand_by_name)
     assert sum(shares) <= rate * 1.000001
     if sum(demand) <= rate:
         assert all(
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -35,7 +35,6 @@
     view = FleetView(
         live_instances=fleet,
         fleet_size=len(fleet),
-        requests_per_s_by_instance={},
         computed_at=0.0,
     )
     return order_sources(view, own)
@@ -173,6 +172,9 @@
     async def read(self, table):
         return self.respond('')
 
+    async def read_range(self, table, from_key, to_key):
+        return self.respond('')
+
     async def poll_changes(self, table, *, after, wait_s):
         return self.respond('')
 
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -35,6 +35,9 @@
     async def read(self, table):
         return await self.respond('read')
 
+    async def read_range(self, table, from_key, to_key):
+        raise AssertionError('a follower reads whole tables')
+
     async def poll_changes(self, table, *, after, wait_s):
         assert wait_s == LONG_POLL_S
         return await self.respond(f'poll {after}')
@@ -194,18 +197,18 @@
 
 
 @pytest.mark.parametrize(
-    ('peer_revision', 'after_s', 'reads'),
+    ('peer_revision', 'after_s', 'polls'),
     [(3, 1.0, 1), (5, 0.1, 1), (5, STALE_AFTER_S + 0.1, 2)],
 )
-async def test_follower_behind_peer_rereads_table(
-    peer_revision, after_s, reads
-):
+async def test_follower_behind_peer_asks_again(peer_revision, after_s, polls):
     result = await follow([make_response(3, a=b'1')], keep_running=True)
     now = result.clock.now()
     result.follower.check_peer_revision(peer_revision, now)
     result.follower.check_peer_revision(peer_revision, now + after_s)
     await run_ready_tasks()
     result.task.cancel()
-    assert result.store.calls.count('read') == reads
-    # Each further read reports its source as stale, so that it is avoided.
-    assert result.store.calls.count('stale op') == reads - 1
+    # Only the changes are asked for: a whole table would fill narrow links.
+    assert result.store.calls.count('read') == 1
+    assert result.store.calls.count('poll 3') == polls
+    # Each further call reports its source as stale, so that it is avoided.
+    assert result.store.calls.count('stale op') == polls - 1
