Let a transfer that began while behind go on; ask the newer peer

Cause: a follower that lacked a row known to a peer cancelled its call every 0.4 s (0.9 s through relays). Both relays of a region may be cut off from the store; their other source was each other.

Change: only a call that began before the newer row was known is cancelled, and never the first read. The peer that told of the row is asked next. While behind, a poll waits 0.2 s at most, so that a source without the row is changed at once. Rows read at a later revision count as up to date, also where the change was a removal.

--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -319,10 +319,12 @@
             follower.follow_relays(is_relayed=sources[0] != STORE_SOURCE)
 
     def _check_peer_revisions(
-        self, revisions: Mapping[str, int], at: float
+        self, revisions: Mapping[str, int], at: float, peer: str
     ) -> None:
         for table, follower in self.followers.items():
-            follower.check_peer_revision(revisions.get(table, -1), at)
+            follower.check_peer_revision(
+                revisions.get(table, -1), at, peer=peer
+            )
 
 
 def _create_tracer(settings: DaemonSettings) -> Tracer:
--- a/src/currantspur/decisions/zone_summary.py
+++ b/src/currantspur/decisions/zone_summary.py
@@ -17,6 +17,7 @@
         availability_zone=table.own_zone,
         region=own.instance.region,
         reporter=own.instance.name,
+        reporter_peer=own.instance.peer,
         incarnation=own.incarnation,
         sequence_number=sequence_number,
         live_instances=tuple(
--- a/src/currantspur/messages/fleet_state.py
+++ b/src/currantspur/messages/fleet_state.py
@@ -197,6 +197,7 @@
 
     - ``reporter``, ``incarnation``, ``sequence_number``: the instance that
       sends the digest, and its numbers as in a Heartbeat.
+    - ``reporter_peer``: the address at which it serves table rows.
     - ``live_instances``: instances of the zone that callers may use.
     - ``counted_instances``: number of its instances that divide limits.
     - ``requests_per_s_by_team``, ``busy_slots_by_service``: sums over these.
@@ -213,6 +214,7 @@
         'live_instances',
         'region',
         'reporter',
+        'reporter_peer',
         'requests_per_s_by_team',
         'revisions',
         'sequence_number',
@@ -224,6 +226,7 @@
         availability_zone: str,
         region: str,
         reporter: str,
+        reporter_peer: str,
         incarnation: int,
         sequence_number: int,
         live_instances: tuple[Instance, ...] = (),
@@ -236,6 +239,7 @@
         self.availability_zone = availability_zone
         self.region = region
         self.reporter = reporter
+        self.reporter_peer = reporter_peer
         self.incarnation = incarnation
         self.sequence_number = sequence_number
         self.live_instances = live_instances
--- a/src/currantspur/platform/store.py
+++ b/src/currantspur/platform/store.py
@@ -85,8 +85,8 @@
             newest_row_revision=_get_newest_revision(document),
         )
 
-    def report_stale(self, table: str) -> None:
-        """Count a stale response; there is no other source to change to."""
+    def report_stale(self, table: str, *, better_source: str) -> None:
+        """Count a stale response; peers are no sources of this client."""
         self.metrics.store_calls.labels(table, 'behind').inc()
 
     async def write(self, table: str, rows: Mapping[str, bytes | None]) -> None:
@@ -160,7 +160,9 @@
                 f'{self.base_url}/-/{call_name}',
                 params=query,
                 json=body,
-                timeout=make_progress_timeout(timeout_s),
+                timeout=make_progress_timeout(
+                    timeout_s, connect_s=CALL_TIMEOUT_S
+                ),
             ) as response:
                 outcome = str(response.status)
                 body = await read_bounded(
--- a/src/currantspur/tasks/failover_store.py
+++ b/src/currantspur/tasks/failover_store.py
@@ -49,6 +49,7 @@
     """
 
     __slots__ = (
+        'better_source_by_table',
         'clock',
         'cooldown_until',
         'last_source_by_table',
@@ -67,6 +68,8 @@
         self.source_order: tuple[str, ...] = (STORE_SOURCE,)
         # Source of the latest call for each table.
         self.last_source_by_table: dict[str, str] = {}
+        # A peer that had newer rows of a table, asked first in the next call.
+        self.better_source_by_table: dict[str, str] = {}
         # End of the cooldown by table and source, in monotonic seconds.
         self.cooldown_until: dict[tuple[str, str], float] = {}
 
@@ -91,11 +94,12 @@
         """
         return await self._fetch_with_failover(table, after, wait_s)
 
-    def report_stale(self, table: str) -> None:
-        """Start the cooldown of the latest source of a table."""
+    def report_stale(self, table: str, *, better_source: str) -> None:
+        """Start the cooldown of a table's latest source; ask another first."""
         self._start_cooldown(
             table, self.last_source_by_table.get(table, STORE_SOURCE)
         )
+        self.better_source_by_table[table] = better_source
 
     async def write(self, table: str, rows: Mapping[str, bytes | None]) -> None:
         """Write rows to the store; peers accept no writes."""
@@ -139,9 +143,13 @@
     def _list_usable_sources(self, table: str) -> tuple[str, ...]:
         """Return sources not in cooldown; if all are, the preferred one."""
         now = self.clock.now()
+        better = self.better_source_by_table.pop(table, None)
+        order = self.source_order
+        if better is not None:
+            order = tuple(dict.fromkeys((better, *order)))
         usable = tuple(
             source
-            for source in self.source_order
+            for source in order
             if self.cooldown_until.get((table, source), now) <= now
         )
         return usable or self.source_order[:1]
--- a/src/currantspur/tasks/membership.py
+++ b/src/currantspur/tasks/membership.py
@@ -83,15 +83,15 @@
         dispatcher: Mailbox,
         subscribers: Iterable[Mailbox],
         get_revisions: Callable[[], Mapping[str, int]],
-        on_peer_revisions: Callable[[Mapping[str, int], float], None],
+        on_peer_revisions: Callable[[Mapping[str, int], float, str], None],
         is_ready: Callable[[], bool],
         on_view: Callable[[FleetView], None],
     ) -> None:
         """Start without peers; the incarnation differs at each start.
 
         get_revisions returns the newest row revision by table of this
-        instance; on_peer_revisions gets those of a peer and the monotonic
-        seconds of their receipt. on_view is called with every fleet view
+        instance; on_peer_revisions gets those of a peer, the monotonic seconds
+        of their receipt and the address to ask for the rows. on_view is called with every fleet view
         before the subscribers get it.
         """
         super().__init__()
@@ -159,7 +159,9 @@
 
     def _record_heartbeat(self, heartbeat: Heartbeat) -> None:
         now = self.clock.now()
-        self.on_peer_revisions(heartbeat.revisions, now)
+        self.on_peer_revisions(
+            heartbeat.revisions, now, heartbeat.instance.peer
+        )
         if self.membership_table.record_heartbeat(heartbeat, now):
             self._publish_view()
             if heartbeat.is_leaving:
@@ -167,7 +169,7 @@
 
     def _record_digest(self, digest: ZoneDigest) -> None:
         now = self.clock.now()
-        self.on_peer_revisions(digest.revisions, now)
+        self.on_peer_revisions(digest.revisions, now, digest.reporter_peer)
         if not self.membership_table.zone_digests.record(digest, now):
             return
         if self.heartbeat_port is not None and not digest.is_relayed:
--- a/src/currantspur/tasks/ports.py
+++ b/src/currantspur/tasks/ports.py
@@ -40,8 +40,11 @@
         """
 
     @abstractmethod
-    def report_stale(self, table: str) -> None:
-        """Report that the latest source of a table lacks newer changes."""
+    def report_stale(self, table: str, *, better_source: str) -> None:
+        """Report that the latest source of a table lacks newer changes.
+
+        The better source is the address of a peer that has them.
+        """
 
     @abstractmethod
     async def write(self, table: str, rows: Mapping[str, bytes | None]) -> None:
--- a/src/currantspur/tasks/table_follower.py
+++ b/src/currantspur/tasks/table_follower.py
@@ -22,6 +22,9 @@
 STALE_AFTER_S = 0.4
 # A change passes up to two relays, each of which may delay it by BATCH_DELAY_S.
 RELAYED_STALE_AFTER_S = 0.9
+# A source that has the change answers a poll at once; one without it is asked
+# no longer than this.
+BEHIND_POLL_S = 0.2
 # Changes come in groups; the next call fetches all that follow within this
 # time. It is less than STALE_AFTER_S, and only a tenth of the time that a
 # change may take.
@@ -36,11 +39,13 @@
 
     __slots__ = (
         'behind_since',
+        'call_started_at',
         'clock',
         'decoder',
         'highest_revision',
         'journal',
         'last_response_at',
+        'newest_peer',
         'newest_row_revision',
         'outage_ended_at',
         'outage_since',
@@ -92,9 +97,11 @@
         self.outage_ended_at = float('-inf')
         # Newest row revision that any peer has reported.
         self.peer_revision = -1
+        self.newest_peer = ''
         self.behind_since: float | None = None
         self.stale_after_s = STALE_AFTER_S
         self.pending_call: asyncio.Task[RowsResponse] | None = None
+        self.call_started_at = clock.now()
 
     async def run_after(self, preparation: Coroutine[Any, Any, None]) -> None:
         """Follow the table once the preparation is done."""
@@ -127,43 +134,57 @@
         )
 
     def check_peer_revision(
-        self, peer_newest_row_revision: int, at: float
+        self, peer_newest_row_revision: int, at: float, *, peer: str
     ) -> None:
         """Compare the newest row revision of a peer with that of this follower.
 
-        If this one stays behind for longer than `stale_after_s`, cancel its
-        call, report the source as stale and ask the next one.
+        If this one stays behind for longer than `stale_after_s`, and its call
+        began before it was, cancel the call and ask the peer instead.
         """
-        self.peer_revision = max(self.peer_revision, peer_newest_row_revision)
-        if self.newest_row_revision >= self.peer_revision:
+        if peer_newest_row_revision > self.peer_revision:
+            self.peer_revision = peer_newest_row_revision
+            self.newest_peer = peer
+        if not self.is_behind:
             self.behind_since = None
             return
         if self.behind_since is None:
             self.behind_since = at
-        if (
-            at - self.behind_since > self.stale_after_s
-            and self.pending_call is not None
-        ):
-            self.journal.note(
-                'source_behind',
-                table=self.table,
-                known=self.newest_row_revision,
-                newest=self.peer_revision,
-                behind_s=round(at - self.behind_since, 3),
-            )
-            self.behind_since = at
-            self.store.report_stale(self.table)
+        # A call that began later may be in the middle of a long transfer.
+        is_stale_call = self.call_started_at <= self.behind_since
+        is_late = at - self.behind_since > self.stale_after_s
+        if is_late and is_stale_call and self.pending_call is not None:
+            self._change_source()
             self.pending_call.cancel()
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether a peer has newer rows than this follower has read."""
+        # Rows read at a later revision contain the change, removals too.
+        newest = max(self.revision, self.newest_row_revision)
+        return 0 <= self.revision and newest < self.peer_revision
+
+    def _change_source(self) -> None:
+        self.journal.note(
+            'source_behind',
+            table=self.table,
+            known=self.newest_row_revision,
+            newest=self.peer_revision,
+            peer=self.newest_peer,
+        )
+        self.store.report_stale(self.table, better_source=self.newest_peer)
+
     async def _poll_once(self) -> None:
         if self.revision < 0:
             response = await self._wait_for_call(self.store.read(self.table))
             if response is not None:
                 self._replace(response)
             return
+        is_behind = self.behind_since is not None and self.is_behind
         response = await self._wait_for_call(
             self.store.poll_changes(
-                self.table, after=self.revision, wait_s=LONG_POLL_S
+                self.table,
+                after=self.revision,
+                wait_s=BEHIND_POLL_S if is_behind else LONG_POLL_S,
             )
         )
         if response is None:
@@ -171,11 +192,14 @@
         self._merge(response)
         if response.rows_by_key:
             await self.clock.sleep(BATCH_DELAY_S)
+        elif is_behind and self.is_behind:
+            self._change_source()
 
     async def _wait_for_call(
         self, call: Coroutine[Any, Any, RowsResponse]
     ) -> RowsResponse | None:
         """Wait for a call; return None if check_peer_revision cancelled it."""
+        self.call_started_at = self.clock.now()
         self.pending_call = asyncio.ensure_future(call)
         try:
             await asyncio.wait((self.pending_call,))
--- a/src/currantspur/wire/bodies.py
+++ b/src/currantspur/wire/bodies.py
@@ -8,7 +8,7 @@
 
 # A table of 2,000 targets, or a configuration of 5,000 routes, takes 2 MB.
 MAX_TABLE_BODY_BYTES = 16_777_216
-# A connection opens within one round trip, but may wait on a full link.
+# A connection to a peer of the region opens within one round trip.
 CONNECT_TIMEOUT_S = 0.8
 # A response that makes progress may take this long, after the wait for it.
 MAX_TRANSFER_S = 10.0
@@ -21,11 +21,13 @@
 )
 
 
-def make_progress_timeout(silence_s: float) -> ClientTimeout:
+def make_progress_timeout(
+    silence_s: float, *, connect_s: float = CONNECT_TIMEOUT_S
+) -> ClientTimeout:
     """Return a timeout that ends calls whose peer is silent for so long."""
     return ClientTimeout(
         total=silence_s + MAX_TRANSFER_S,
-        sock_connect=CONNECT_TIMEOUT_S,
+        sock_connect=connect_s,
         sock_read=silence_s,
     )
 
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -188,7 +188,7 @@
             raise response
         return RowsResponse(rows_by_key={}, revision=response)
 
-    def report_stale(self, table):
+    def report_stale(self, table, *, better_source):
         raise AssertionError
 
     async def write(self, table, rows):
@@ -238,23 +238,25 @@
 
 
 @pytest.mark.parametrize(
-    ('order', 'passed_s', 'asked_sources'),
+    ('order', 'better', 'passed_s', 'asked_sources'),
     [
-        (('a', 'b', ''), 0.0, ['a', 'b']),
-        (('', 'a'), 0.0, ['', 'a']),
+        (('a', 'b', ''), 'b', 0.0, ['a', 'b', 'b']),
+        # A peer with newer rows is asked once, then the usual sources.
+        (('', 'a'), 'c', 0.0, ['', 'c', 'a']),
         # After the cooldown the preferred source is asked again.
-        (('a', 'b', ''), SOURCE_COOLDOWN_S, ['a', 'a']),
+        (('a', 'b', ''), 'c', SOURCE_COOLDOWN_S, ['a', 'c', 'a']),
     ],
 )
 async def test_stale_source_is_skipped_during_cooldown(
-    order, passed_s, asked_sources
+    order, better, passed_s, asked_sources
 ):
     clock = VirtualClock()
-    scripted = ScriptedSources({'': 3, 'a': 3, 'b': 9})
+    scripted = ScriptedSources({'': 3, 'a': 3, 'b': 9, 'c': 9})
     store = FailoverStore(store=scripted, relay_client=scripted, clock=clock)
     store.source_order = order
     await store.read('t')
-    store.report_stale('t')
+    store.report_stale('t', better_source=better)
+    await store.read('t')
     clock.at += passed_s
     await store.read('t')
     assert scripted.asked_sources == asked_sources
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -10,6 +10,7 @@
 from currantspur.tasks import Journal, Mailbox, Store, TableFollower
 from currantspur.tasks.table_follower import (
     BATCH_DELAY_S,
+    BEHIND_POLL_S,
     LONG_POLL_S,
     STALE_AFTER_S,
 )
@@ -39,7 +40,7 @@
         raise AssertionError('a follower reads whole tables')
 
     async def poll_changes(self, table, *, after, wait_s):
-        assert wait_s == LONG_POLL_S
+        assert wait_s in {LONG_POLL_S, BEHIND_POLL_S}
         return await self.respond(f'poll {after}')
 
     async def respond(self, call):
@@ -51,7 +52,7 @@
             raise response
         return response
 
-    def report_stale(self, table):
+    def report_stale(self, table, *, better_source):
         self.calls.append(f'stale {table}')
 
     async def write(self, table, rows):
@@ -203,8 +204,10 @@
 async def test_follower_behind_peer_asks_again(peer_revision, after_s, polls):
     result = await follow([make_response(3, a=b'1')], keep_running=True)
     now = result.clock.now()
-    result.follower.check_peer_revision(peer_revision, now)
-    result.follower.check_peer_revision(peer_revision, now + after_s)
+    result.follower.check_peer_revision(peer_revision, now, peer='p:1')
+    result.follower.check_peer_revision(
+        peer_revision, now + after_s, peer='p:1'
+    )
     await run_ready_tasks()
     result.task.cancel()
     # Only the changes are asked for: a whole table would fill narrow links.
@@ -212,3 +215,40 @@
     assert result.store.calls.count('poll 3') == polls
     # Each further call reports its source as stale, so that it is avoided.
     assert result.store.calls.count('stale op') == polls - 1
+
+
+async def test_call_begun_while_behind_is_not_cancelled():
+    result = await follow([make_response(3, a=b'1')], keep_running=True)
+    check = result.follower.check_peer_revision
+    now = result.clock.now()
+    for number in range(20):
+        result.clock.at = now + number * STALE_AFTER_S
+        check(5, result.clock.at, peer='p:1')
+        await run_ready_tasks()
+    result.task.cancel()
+    # The transfer of a large configuration takes longer than STALE_AFTER_S.
+    assert result.store.calls.count('stale op') == 1
+
+
+async def test_source_without_newer_rows_is_changed_at_once():
+    result = await follow(
+        [make_response(3, a=b'1')],
+        keep_running=True,
+    )
+    now = result.clock.now()
+    result.store.responses = [RowsResponse(rows_by_key={}, revision=3)] * 2
+    for seconds in (0.0, STALE_AFTER_S + 0.1):
+        result.follower.check_peer_revision(5, now + seconds, peer='p:1')
+    await run_ready_tasks()
+    result.task.cancel()
+    assert result.store.calls.count('stale op') == 3
+
+
+async def test_first_read_is_not_cancelled_by_newer_peers():
+    result = await follow([], keep_running=True)
+    now = result.clock.now()
+    for seconds in (0.0, STALE_AFTER_S + 0.1, 9.0):
+        result.follower.check_peer_revision(5, now + seconds, peer='p:1')
+    await run_ready_tasks()
+    result.task.cancel()
+    assert result.store.calls == ['read']
--- a/tests/test_zone_digests.py
+++ b/tests/test_zone_digests.py
@@ -68,7 +68,7 @@
             dispatcher=Mailbox(),
             subscribers=(),
             get_revisions=dict,
-            on_peer_revisions=lambda revisions, at: None,
+            on_peer_revisions=lambda revisions, at, peer: None,
             is_ready=lambda: True,
             on_view=lambda view: None,
         )
