Begin pipelined requests before their turn

Cause: callers send further requests before the first is answered, and the connection handled them one after the other.

Change: PipelinedConnection begins queued requests without a body as they arrive; responses leave in order. A request that may run only once waits for its turn, as its caller may send it again if the connection closes. A shutdown answers what has begun.

--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -43,7 +43,12 @@
 from currantspur.wire.metrics import Metrics
 from currantspur.wire.relays import HttpRelayClient, RowRelayHandler
 from currantspur.wire.request_handler import RequestHandler
-from currantspur.wire.server import Handler, Server, start_server
+from currantspur.wire.server import (
+    Handler,
+    Server,
+    start_pipelining_server,
+    start_server,
+)
 from currantspur.wire.targets import HttpTargetClient
 
 INCARNATION_BITS = 53
@@ -207,12 +212,14 @@
         )
         settings = self.settings
         endpoints: tuple[tuple[Handler, str], ...] = (
-            (self.request_handler.handle, settings.listen),
             (lookup_handler.handle, settings.directory),
             (lookup_handler.handle, settings.ready),
             (self.metrics.handle_scrape, settings.metrics),
             (RowRelayHandler(self.row_relay.mailbox).handle, settings.peer),
         )
+        self.servers.append(
+            await start_pipelining_server(self.request_handler, settings.listen)
+        )
         for handler, address in endpoints:
             self.servers.append(await start_server(handler, address))
         # Heartbeats use UDP, row requests TCP, at the same address and port.
--- a/src/currantspur/tasks/forwarder.py
+++ b/src/currantspur/tasks/forwarder.py
@@ -70,15 +70,18 @@
         request: IncomingRequest,
         outgoing_request: OutgoingRequest,
         body: BodySource,
+        turn: asyncio.Event,
     ) -> AsyncGenerator[ResponsePart]:
         """Yield a refusal, or the head of the response and then its chunks.
 
-        Raise TargetError if the target fails after the head was yielded.
+        A request that may run only once waits until its turn is set: if its
+        connection closes before, the caller may send it again. Raise
+        TargetError if the target fails after the head was yielded.
         """
         span = self.tracer.begin('entry.request')
         try:
             async with aclosing(
-                self._forward(request, outgoing_request, body, span)
+                self._forward(request, outgoing_request, body, span, turn)
             ) as parts:
                 async for part in parts:
                     yield part
@@ -91,6 +94,7 @@
         outgoing_request: OutgoingRequest,
         body: BodySource,
         span: Any,
+        turn: asyncio.Event,
     ) -> AsyncGenerator[ResponsePart]:
         context: RequestContext = await self.admission.ask(request)
         state = ForwardingState(
@@ -101,6 +105,8 @@
             self._log_refusal(context, refusal, state)
             yield refusal
             return
+        if not state.is_idempotent:
+            await turn.wait()
         async with aclosing(self._try_targets(state)) as parts:
             async for part in parts:
                 if isinstance(part, Refusal):
--- a/src/currantspur/tasks/membership.py
+++ b/src/currantspur/tasks/membership.py
@@ -91,8 +91,8 @@
 
         get_revisions returns the newest row revision by table of this
         instance; on_peer_revisions gets those of a peer, the monotonic seconds
-        of their receipt and the address to ask for the rows. on_view is called with every fleet view
-        before the subscribers get it.
+        of their receipt and the address to ask for the rows. on_view is called
+        with every fleet view before the subscribers get it.
         """
         super().__init__()
         self.clock = clock
--- a/src/currantspur/tasks/table_follower.py
+++ b/src/currantspur/tasks/table_follower.py
@@ -161,7 +161,7 @@
         """Whether a peer has newer rows than this follower has read."""
         # Rows read at a later revision contain the change, removals too.
         newest = max(self.revision, self.newest_row_revision)
-        return 0 <= self.revision and newest < self.peer_revision
+        return self.revision >= 0 and newest < self.peer_revision
 
     def _change_source(self) -> None:
         self.journal.note(
--- /dev/null
+++ b/src/currantspur/wire/pipelining.py
@@ -0,0 +1,130 @@
+"""Begin pipelined requests before those sent ahead of them are answered.
+
+Responses still leave in the order of the requests.
+"""
+
+from abc import ABC, abstractmethod
+from typing import Any, Final
+
+from aiohttp import web
+from aiohttp.http import RawRequestMessage
+
+# Further requests of a connection wait until one of these is answered.
+MAX_EARLY_REQUESTS = 16
+# Only requests without a body begin early: a body arrives in its turn.
+EARLY_METHODS: Final = frozenset(('GET', 'HEAD'))
+
+
+class EarlyRequest(ABC):
+    """A request that has begun before its turn."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def cancel(self) -> None:
+        """Give the request up, as its connection is lost."""
+
+
+class EarlyRequestHandler(ABC):
+    """Interface that begins requests before their turn."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def begin_early(self, message: RawRequestMessage) -> EarlyRequest:
+        """Begin a request without a body."""
+
+    @abstractmethod
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a request in its turn."""
+
+
+class PipelinedConnection(web.RequestHandler):
+    """The connection of a caller that may send several requests at once."""
+
+    __slots__ = ('early_handler', 'early_requests', 'is_closing_late')
+
+    def __init__(
+        self,
+        manager: web.Server,
+        early_handler: EarlyRequestHandler,
+        **options: Any,
+    ) -> None:
+        super().__init__(manager, **options)
+        self.early_handler = early_handler
+        # By the headers of their messages, in the order of arrival.
+        self.early_requests: dict[int, EarlyRequest] = {}
+        self.is_closing_late = False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse requests, and begin those behind the one at work."""
+        super().data_received(data)
+        if self._messages and not self.is_closing_late:
+            self._begin_queued()
+
+    def take_early(self, request: web.BaseRequest) -> EarlyRequest | None:
+        """Return the request, whose turn it is, if it began early."""
+        early = self.early_requests.pop(id(request.headers), None)
+        if self.is_closing_late:
+            self.close()
+        return early
+
+    def close(self) -> None:
+        """Close after the response at work, or after those begun early."""
+        if self.early_requests:
+            self.is_closing_late = True
+        else:
+            super().close()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancel the requests that have begun."""
+        super().connection_lost(exc)
+        while self.early_requests:
+            self.early_requests.popitem()[1].cancel()
+
+    def _begin_queued(self) -> None:
+        # Without a request at work the first one has its turn at once.
+        waiting = list(self._messages)[int(self._current_request is None) :]
+        for message, payload in waiting:
+            if not isinstance(message, RawRequestMessage):
+                return
+            may_begin = message.method in EARLY_METHODS and payload.is_eof()
+            if not may_begin or len(self.early_requests) >= MAX_EARLY_REQUESTS:
+                return
+            key = id(message.headers)
+            if key not in self.early_requests:
+                self.early_requests[key] = self.early_handler.begin_early(
+                    message
+                )
+
+
+class PipeliningServer(web.Server):
+    """Serve connections whose requests may be pipelined."""
+
+    def __init__(
+        self, early_handler: EarlyRequestHandler, **options: Any
+    ) -> None:
+        super().__init__(early_handler.handle, **options)
+        self.early_handler = early_handler
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the protocol of a new connection."""
+        return PipelinedConnection(
+            self, self.early_handler, loop=self._loop, **self._kwargs
+        )
+
+
+def take_early_request(request: web.BaseRequest) -> EarlyRequest | None:
+    """Return the request if it began before its turn."""
+    connection = request.protocol
+    if isinstance(connection, PipelinedConnection):
+        return connection.take_early(request)
+    return None
+
+
+def has_early_requests(request: web.BaseRequest) -> bool:
+    """Tell whether requests behind this one on its connection have begun."""
+    connection = request.protocol
+    return isinstance(connection, PipelinedConnection) and bool(
+        connection.early_requests
+    )
--- a/src/currantspur/wire/request_handler.py
+++ b/src/currantspur/wire/request_handler.py
@@ -1,11 +1,12 @@
 """Handle the requests of callers over HTTP."""
 
 import asyncio
-from collections.abc import AsyncGenerator
-from typing import Any
+from collections.abc import AsyncGenerator, Iterator, Mapping
+from typing import Any, Final
 from uuid import uuid4
 
 from aiohttp import web
+from aiohttp.http import RawRequestMessage
 
 from currantspur.errors import (
     BodyCutError,
@@ -32,6 +33,12 @@
     ProtocolNames,
     filter_forwarded_headers,
 )
+from currantspur.wire.pipelining import (
+    EarlyRequest,
+    EarlyRequestHandler,
+    has_early_requests,
+    take_early_request,
+)
 from currantspur.wire.responses import (
     encode_refusal,
     make_buffered_response,
@@ -44,7 +51,41 @@
 MAX_REQUEST_ID_LENGTH = 128
 
 
-class RequestHandler:
+class ForwardedRequest(EarlyRequest):
+    """A request on its way to a target, begun in its turn or before."""
+
+    __slots__ = ('first_part', 'parts', 'request_id', 'started_at', 'turn')
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        started_at: float,
+        parts: AsyncGenerator[ResponsePart],
+        turn: asyncio.Event,
+    ) -> None:
+        """Start to read the response.
+
+        A request that may run only once waits until the turn is set.
+        """
+        self.request_id = request_id
+        self.started_at = started_at
+        self.parts = parts
+        self.turn = turn
+        self.first_part = asyncio.ensure_future(_read_first_part(parts))
+
+    def cancel(self) -> None:
+        """Stop the request at its target."""
+        self.first_part.cancel()
+
+    async def close(self) -> None:
+        """Stop the request at its target, if it is still at work there."""
+        self.first_part.cancel()
+        await asyncio.gather(self.first_part, return_exceptions=True)
+        await self.parts.aclose()
+
+
+class RequestHandler(EarlyRequestHandler):
     """Translate between HTTP and the messages of a request."""
 
     __slots__ = (
@@ -76,7 +117,8 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Forward a request to a target and return the response.
 
-        While the instance drains, the connection is closed after the response.
+        While the instance drains, the connection is closed after the response,
+        or after those of requests behind it that have begun.
         """
         task = asyncio.current_task()
         if task is None:
@@ -86,76 +128,105 @@
             response = await self._forward(request)
         finally:
             self.active_requests.discard(task)
-        if self.is_draining and not response.prepared:
+        is_last = not has_early_requests(request)
+        if self.is_draining and is_last and not response.prepared:
             response.force_close()
         return response
 
+    def begin_early(self, message: RawRequestMessage) -> ForwardedRequest:
+        """Begin a request whose turn on its connection comes later."""
+        forwarded = self._begin(
+            message.headers, message.method, message.path, EMPTY_BODY
+        )
+        task = forwarded.first_part
+        self.active_requests.add(task)
+        task.add_done_callback(self.active_requests.discard)
+        return forwarded
+
     async def _forward(self, request: web.BaseRequest) -> web.StreamResponse:
-        started_at = self.clock.now()
-        request_id = read_request_id(request, self.names)
-        parts = self.forwarder.run(
-            self._parse_incoming_request(request, request_id, started_at),
-            self._make_outgoing_request(request, request_id),
-            HttpBody(request),
+        early = take_early_request(request)
+        forwarded = (
+            early
+            if isinstance(early, ForwardedRequest)
+            else self._begin(
+                request.headers,
+                request.method,
+                request.raw_path,
+                HttpBody(request),
+            )
         )
+        forwarded.turn.set()
         try:
-            return await self._respond(request, request_id, parts)
+            return await self._respond(request, forwarded)
         finally:
-            await parts.aclose()
-            self.metrics.request_seconds.observe(self.clock.now() - started_at)
-
-    def _parse_incoming_request(
-        self, request: web.BaseRequest, request_id: str, received_at: float
-    ) -> IncomingRequest:
-        headers = request.headers
-        authorization = headers.get(KEY_HEADER, '')
-        timeout_ms = headers.get(self.names.timeout_ms_header)
-        return IncomingRequest(
+            await forwarded.close()
+            self._observe_duration(forwarded)
+
+    def _observe_duration(self, forwarded: ForwardedRequest) -> None:
+        duration_s = self.clock.now() - forwarded.started_at
+        self.metrics.request_seconds.observe(duration_s)
+
+    def _begin(
+        self,
+        headers: Mapping[str, str],
+        method: str,
+        path: str,
+        body: BodySource,
+    ) -> ForwardedRequest:
+        started_at = self.clock.now()
+        request_id = read_request_id(headers, self.names)
+        turn = asyncio.Event()
+        incoming = IncomingRequest(
             request_id=request_id,
-            received_at=received_at,
-            method=request.method,
+            received_at=started_at,
+            method=method,
             host=headers.get('Host', ''),
-            path=request.raw_path,
-            api_key=parse_bearer_key(authorization),
+            path=path,
+            api_key=parse_bearer_key(headers.get(KEY_HEADER, '')),
             object_key=headers.get(self.names.object_key_header),
-            timeout_s=parse_timeout_s(timeout_ms),
+            timeout_s=parse_timeout_s(
+                headers.get(self.names.timeout_ms_header)
+            ),
         )
-
-    def _make_outgoing_request(
-        self, request: web.BaseRequest, request_id: str
-    ) -> OutgoingRequest:
-        forwarded = list(
-            filter_forwarded_headers(
-                request.headers.items(), self.stripped_headers
-            )
+        outgoing = OutgoingRequest(
+            request_id=request_id,
+            method=method,
+            path=path,
+            headers=tuple(self._list_forwarded_headers(headers, request_id)),
         )
         # Targets return the ID as the caller sent it, usable in logs or not.
-        forwarded_id = request.headers.get(self.names.request_id_header)
-        if forwarded_id is None:
-            forwarded.append((self.names.request_id_header, request_id))
-        return OutgoingRequest(
-            request_id=request_id if forwarded_id is None else forwarded_id,
-            method=request.method,
-            path=request.raw_path,
-            headers=tuple(forwarded),
+        outgoing.request_id = headers.get(
+            self.names.request_id_header, request_id
+        )
+        return ForwardedRequest(
+            request_id=request_id,
+            started_at=started_at,
+            parts=self.forwarder.run(incoming, outgoing, body, turn),
+            turn=turn,
         )
 
+    def _list_forwarded_headers(
+        self, headers: Mapping[str, str], request_id: str
+    ) -> Iterator[tuple[str, str]]:
+        yield from filter_forwarded_headers(
+            headers.items(), self.stripped_headers
+        )
+        if self.names.request_id_header not in headers:
+            yield self.names.request_id_header, request_id
+
     async def _respond(
-        self,
-        request: web.BaseRequest,
-        request_id: str,
-        parts: AsyncGenerator[ResponsePart],
+        self, request: web.BaseRequest, forwarded: ForwardedRequest
     ) -> web.StreamResponse:
-        first = await _read_first_part(parts)
+        first = await forwarded.first_part
         if isinstance(first, Refusal):
             self.metrics.requests.labels(first.code).inc()
-            return encode_refusal(first, request_id, self.names)
+            return encode_refusal(first, forwarded.request_id, self.names)
         if not isinstance(first, ResponseHead):
             raise AssertionError('a response must begin with its head')
         self.metrics.requests.labels('answered').inc()
         if first.body is not None:
             return make_buffered_response(first)
-        return await self._stream(request, first, parts)
+        return await self._stream(request, first, forwarded.parts)
 
     async def _stream(
         self,
@@ -164,7 +235,7 @@
         parts: AsyncGenerator[ResponsePart],
     ) -> web.StreamResponse:
         response = make_streaming_response(head)
-        if self.is_draining:
+        if self.is_draining and not has_early_requests(request):
             response.force_close()
         await response.prepare(request)
         try:
@@ -182,8 +253,9 @@
 
 
 async def _read_first_part(parts: AsyncGenerator[ResponsePart]) -> ResponsePart:
+    """Return the first part; release the target if it is the last one."""
     try:
-        return await anext(parts)
+        first = await anext(parts)
     except MailboxFullError:
         return Refusal(
             code='no_room', detail='the instance is full', retry_after_s=1.0
@@ -192,14 +264,17 @@
         return Refusal(
             code='outcome_unknown', detail='the instance failed', not_run=False
         )
+    if isinstance(first, Refusal) or first.body is not None:
+        await parts.aclose()
+    return first
 
 
-def read_request_id(request: web.BaseRequest, names: ProtocolNames) -> str:
+def read_request_id(headers: Mapping[str, str], names: ProtocolNames) -> str:
     """Return the request ID of the caller, or a new one.
 
     An ID that is empty, too long or not printable ASCII is replaced.
     """
-    request_id = request.headers.get(names.request_id_header, '')
+    request_id = headers.get(names.request_id_header, '')
     is_usable = request_id.isascii() and request_id.isprintable()
     if is_usable and 0 < len(request_id) <= MAX_REQUEST_ID_LENGTH:
         return request_id
@@ -224,6 +299,19 @@
     return int(timeout_ms[:MAX_TIMEOUT_DIGITS]) / MS_PER_S
 
 
+class EmptyBody(BodySource):
+    """The body of a request that has none."""
+
+    __slots__ = ()
+
+    async def read(self, limit_bytes: int) -> bytes:
+        """Return no bytes."""
+        return b''
+
+
+EMPTY_BODY: Final = EmptyBody()
+
+
 class HttpBody(BodySource):
     """Read the body of an HTTP request."""
 
--- a/src/currantspur/wire/server.py
+++ b/src/currantspur/wire/server.py
@@ -2,12 +2,14 @@
 
 import logging
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from aiohttp import web
 from aiohttp.http import HttpProcessingError
 
 from currantspur.errors import ListenError
 from currantspur.settings.document import split_address
+from currantspur.wire.pipelining import EarlyRequestHandler, PipeliningServer
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 # Limit of the request line and of each header.
@@ -65,14 +67,29 @@
 
 async def start_server(handler: Handler, address: str) -> Server:
     """Serve at an IP address and port; raise ListenError if it is in use."""
-    web_server = web.Server(
-        handler,
-        access_log=None,
-        logger=get_http_logger(),
-        handler_cancellation=True,
-        max_line_size=MAX_HEADER_LINE_BYTES,
-        max_field_size=MAX_HEADER_LINE_BYTES,
-    )
+    return await _start(web.Server(handler, **make_server_options()), address)
+
+
+async def start_pipelining_server(
+    handler: EarlyRequestHandler, address: str
+) -> Server:
+    """Serve requests of callers, which may be pipelined, at an address."""
+    server = PipeliningServer(handler, **make_server_options())
+    return await _start(server, address)
+
+
+def make_server_options() -> dict[str, Any]:
+    """Return the options of every HTTP server."""
+    return {
+        'access_log': None,
+        'logger': get_http_logger(),
+        'handler_cancellation': True,
+        'max_line_size': MAX_HEADER_LINE_BYTES,
+        'max_field_size': MAX_HEADER_LINE_BYTES,
+    }
+
+
+async def _start(web_server: web.Server, address: str) -> Server:
     runner = web.ServerRunner(web_server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
     await runner.setup()
     host, port = split_address(address)
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -45,7 +45,9 @@
 
     Return its task and the envelope of its placement request.
     """
-    parts = forwarder.run(INCOMING_REQUEST, OUTGOING, EmptyBody())
+    parts = forwarder.run(
+        INCOMING_REQUEST, OUTGOING, EmptyBody(), asyncio.Event()
+    )
     task = asyncio.ensure_future(anext(parts))
     admission_envelope = (await forwarder.admission.get_all())[0]
     context = RequestContext(request=INCOMING_REQUEST)
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -230,13 +230,14 @@
     assert result.store.calls.count('stale op') == 1
 
 
-async def test_source_without_newer_rows_is_changed_at_once():
+async def test_source_without_newer_rows_is_changed():
     result = await follow(
         [make_response(3, a=b'1')],
         keep_running=True,
     )
     now = result.clock.now()
-    result.store.responses = [RowsResponse(rows_by_key={}, revision=3)] * 2
+    nothing_new = RowsResponse(rows_by_key={}, revision=3)
+    result.store.responses = [nothing_new, nothing_new]
     for seconds in (0.0, STALE_AFTER_S + 0.1):
         result.follower.check_peer_revision(5, now + seconds, peer='p:1')
     await run_ready_tasks()
@@ -244,7 +245,7 @@
     assert result.store.calls.count('stale op') == 3
 
 
-async def test_first_read_is_not_cancelled_by_newer_peers():
+async def test_first_read_is_not_cancelled():
     result = await follow([], keep_running=True)
     now = result.clock.now()
     for seconds in (0.0, STALE_AFTER_S + 0.1, 9.0):
