Plan spillover from measured work; refuse at once what is out of time

Cause: the load of a region was counted in warm work times, also while its objects were cold: at the start, after a release, or because a short region's targets keep fewer objects than it has. The share planned from the first half second then drew objects back to targets that were cold for them. A request was also sent to a queue longer than its time, and a repeat to a target that was taken to be warm because another had failed; both end with a 504 and hold a slot until then.

Change: load counts in the mean work time, which starts cold; a planned share falls only below 0.6 of the work that a region may keep. Targets that are expected to respond after the deadline are left out, except free ones at the first attempt, so that a wrong estimate is corrected. Targets are ranked before those that failed are left out. Retry-After is when a slot is expected to be free, spread over as long again by request. The log line of an attempt names object and rank.

--- a/src/currantspur/decisions/cost_model.py
+++ b/src/currantspur/decisions/cost_model.py
@@ -29,12 +29,22 @@
 class Candidate:
     """A target with its load and its cost for one request."""
 
-    __slots__ = ('cost_s', 'expected_s', 'in_flight', 'is_warm', 'state')
+    __slots__ = (
+        'cost_s',
+        'expected_s',
+        'in_flight',
+        'is_warm',
+        'rank',
+        'state',
+        'wait_s',
+    )
 
     def __init__(self, state: TargetState) -> None:
         self.state = state
         self.in_flight = 0.0
         self.is_warm = False
+        self.rank = 0
+        self.wait_s = 0.0
         self.expected_s = 0.0
         self.cost_s = 0.0
 
@@ -89,6 +99,7 @@
         Rank 0 is the first target in the order of the object. `sends_warmups`
         tells that this instance is one that warms up the target if it joined.
         """
+        candidate.rank = rank
         state = candidate.state
         slots = state.target.slots
         latency_ratio = state.latency_ratio(at)
@@ -101,11 +112,11 @@
             work_times.expected_work_s(is_warm=assumed_warm) * latency_ratio
         )
         queue_rounds = max(0.0, candidate.in_flight - slots + 1) / slots
-        wait_s = queue_rounds * work_times.warm_work_s * latency_ratio
+        candidate.wait_s = queue_rounds * work_times.mean_work_s * latency_ratio
         round_trip_s = self.topology.round_trip_s(
             state.target.availability_zone
         )
-        candidate.expected_s = round_trip_s + wait_s + work_s
+        candidate.expected_s = round_trip_s + candidate.wait_s + work_s
         failure_cost_s = (
             state.failure_score(at)
             * FAILURE_COST_FACTOR
--- a/src/currantspur/decisions/spillover.py
+++ b/src/currantspur/decisions/spillover.py
@@ -17,6 +17,9 @@
 MAX_STARTUP_MEASURE_S = 1.0
 # Share of a region's slots in use above which its requests wait for each other.
 UTILIZATION_LIMIT = 0.5
+# Work returns to a region only up to this part of what it may keep. An object
+# that moves is cold where it arrives, so the plan ignores smaller changes.
+RETURN_FACTOR = 0.6
 # A planned share is logged when it has changed by at least this much.
 LOGGED_SHARE_STEP = 0.1
 
@@ -32,11 +35,14 @@
         self.slots = slots
 
 
-def plan_spill_share(loads: Mapping[str, RegionLoad], region: str) -> float:
+def plan_spill_share(
+    loads: Mapping[str, RegionLoad], region: str, *, planned_share: float = 0.0
+) -> float:
     """Return the share, from 0 to 1, of a region's work to run elsewhere.
 
     A region keeps work up to UTILIZATION_LIMIT of its slots, or up to the mean
-    utilization of all regions where that is higher. Before any load is
+    utilization of all regions where that is higher. Of the share planned
+    before, work returns up to RETURN_FACTOR of that. Before any load is
     measured, callers are assumed to be spread evenly over the regions.
     """
     own = loads.get(region, RegionLoad())
@@ -51,7 +57,9 @@
     kept_slots = (
         max(UTILIZATION_LIMIT, total_busy_slots / total_slots) * own.slots
     )
-    return max(0.0, 1 - kept_slots / own.busy_slots)
+    least_share = 1 - kept_slots / own.busy_slots
+    most_share = 1 - RETURN_FACTOR * kept_slots / own.busy_slots
+    return max(0.0, least_share, min(planned_share, most_share))
 
 
 class StartupWorkMeter:
@@ -140,8 +148,9 @@
             )
             for region, region_slots in slots.items()
         }
-        self.limiter_for(service).planned_share = plan_spill_share(
-            loads, self.region
+        limiter = self.limiter_for(service)
+        limiter.planned_share = plan_spill_share(
+            loads, self.region, planned_share=limiter.planned_share
         )
 
     def record_request(
--- a/src/currantspur/decisions/work_time.py
+++ b/src/currantspur/decisions/work_time.py
@@ -10,16 +10,21 @@
 # than the latency goal, a warm one about a third of the goal.
 INITIAL_COLD_FACTOR = 1.2
 INITIAL_WARM_FACTOR = 0.36
+# The mean of cold and warm work follows the share of cold objects: after a
+# start or a release it changes within a few requests.
+MEAN_SMOOTHING_FACTOR = 0.2
 
 
 class WorkTimeEstimator:
     """Estimate the seconds of work on targets cold and warm for the object."""
 
-    __slots__ = ('cold_work_s', 'warm_work_s')
+    __slots__ = ('cold_work_s', 'mean_work_s', 'warm_work_s')
 
     def __init__(self, route: Route) -> None:
         self.cold_work_s = INITIAL_COLD_FACTOR * route.latency_goal_s
         self.warm_work_s = INITIAL_WARM_FACTOR * route.latency_goal_s
+        # Of all requests. At first every object is cold.
+        self.mean_work_s = self.cold_work_s
 
     def expected_work_s(self, *, is_warm: bool) -> float:
         """Return the expected seconds of work, without waiting or travel."""
@@ -34,6 +39,7 @@
         previous = self.expected_work_s(is_warm=is_warm)
         sample = min(seconds, previous * OUTLIER_FACTOR)
         updated = previous + SMOOTHING_FACTOR * (sample - previous)
+        self.mean_work_s += MEAN_SMOOTHING_FACTOR * (sample - self.mean_work_s)
         if is_warm:
             self.warm_work_s = updated
         else:
--- a/src/currantspur/messages/requests.py
+++ b/src/currantspur/messages/requests.py
@@ -220,6 +220,8 @@
     - ``expected_s``: estimated seconds until the response, with the time on
       the network and in the queue of the target.
     - ``is_warm``: the target has handled the object lately.
+    - ``rank``: place of the target in the order of the object in its region,
+      from 0; of targets that were not left out.
     - ``had_free_slot``: the target had a free slot by its estimated load, so
       the duration of the attempt should contain no time in a queue.
     """
@@ -229,6 +231,7 @@
         'expected_s',
         'had_free_slot',
         'is_warm',
+        'rank',
         'request',
         'target',
     )
@@ -242,7 +245,9 @@
         expected_s: float,
         is_warm: bool,
         had_free_slot: bool,
+        rank: int = 0,
     ) -> None:
+        self.rank = rank
         self.request = request
         self.target = target
         self.assigned_at = assigned_at
--- a/src/currantspur/pipelines/placement.py
+++ b/src/currantspur/pipelines/placement.py
@@ -91,9 +91,7 @@
 
     def record_request(self, request: PlacementRequest, at: float) -> None:
         """Count a request in the load from which all regions plan."""
-        # Only the first request for an object takes longer on a target, which
-        # is then still cold for it: the load is counted in warm work times.
-        work_s = self.work_times_for(request).warm_work_s
+        work_s = self.work_times_for(request).mean_work_s
         busy_slots = self.spillover.record_request(request.service, work_s, at)
         if busy_slots is not None:
             slots = self._sum_effective_slots(request.service, at)
@@ -159,6 +157,17 @@
     return (each for each in states if each.target.name not in excluded_targets)
 
 
+def without_tried(
+    candidates: Iterable[Candidate], excluded_targets: frozenset[str]
+) -> Iterator[Candidate]:
+    """Leave out candidates at which an attempt of this request failed."""
+    return (
+        candidate
+        for candidate in candidates
+        if candidate.state.target.name not in excluded_targets
+    )
+
+
 def within_cold_rate(
     states: TargetStates, state: PlacementState, at: float
 ) -> Iterator[TargetState]:
@@ -217,6 +226,22 @@
     return (candidate for candidate in candidates if not candidate.is_full)
 
 
+def within_deadline(
+    candidates: Iterable[Candidate], request: PlacementRequest, at: float
+) -> Iterator[Candidate]:
+    """Leave out targets that are expected to respond after the deadline.
+
+    A first attempt may use any free slot: without attempts a wrong estimate of
+    the work would never be corrected.
+    """
+    remaining_s = request.deadline - at
+    is_first = not request.excluded_targets
+    for candidate in candidates:
+        may_try = is_first and candidate.is_free
+        if may_try or candidate.expected_s <= remaining_s:
+            yield candidate
+
+
 def with_costs(
     candidates: Iterable[Candidate],
     request: PlacementRequest,
@@ -264,8 +289,7 @@
     """Leave out targets that may not run a request, whatever their load."""
     states = without_draining(states)
     states = without_evacuated(states, state.evacuated_zones)
-    states = within_home_regions(states, request.home_regions, state.topology)
-    return without_excluded(states, request.excluded_targets)
+    return within_home_regions(states, request.home_regions, state.topology)
 
 
 def list_eligible(
@@ -273,7 +297,8 @@
 ) -> Iterator[TargetState]:
     """Yield all targets that may run a request, whatever their load."""
     states = state.states_by_service.get(request.service, ())
-    return filter_eligible(states, request, state)
+    eligible = filter_eligible(states, request, state)
+    return without_excluded(eligible, request.excluded_targets)
 
 
 def list_candidates(
@@ -282,11 +307,30 @@
     state: PlacementState,
     at: float,
 ) -> list[Candidate]:
-    """Return the targets that may run a request and have room, with costs."""
+    """Return the targets that may run a request in time, with costs."""
     states = filter_eligible(states, request, state)
     states = within_cold_rate(states, state, at)
     candidates = with_room(with_load(states, request, state, at))
-    return list(with_costs(candidates, request, state, at))
+    # Ranked before targets that failed are left out: the next target in the
+    # order of the object is not warm because an attempt failed elsewhere.
+    candidates = with_costs(candidates, request, state, at)
+    candidates = without_tried(candidates, request.excluded_targets)
+    return list(within_deadline(candidates, request, at))
+
+
+def expect_room_s(
+    request: PlacementRequest, state: PlacementState, at: float
+) -> float | None:
+    """Return the seconds until a target probably has a free slot.
+
+    Return None if no target may run the request.
+    """
+    shortlist = state.shortlists.find(request.service, request.object_key, at)
+    states = filter_eligible(shortlist, request, state)
+    states = without_excluded(states, request.excluded_targets)
+    candidates = with_load(states, request, state, at)
+    candidates = with_costs(candidates, request, state, at)
+    return min((candidate.wait_s for candidate in candidates), default=None)
 
 
 def choose_target(
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from currantspur.decisions.retries import RetryBudgets
+from currantspur.decisions.return_time import plan_return_s
 from currantspur.decisions.target_retention import TargetRetention
 from currantspur.decisions.target_state import TargetState
 from currantspur.decisions.topology import Topology
@@ -27,15 +28,13 @@
     PlacementState,
     choose_target,
     cold_bucket,
-    list_eligible,
+    expect_room_s,
 )
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.mailbox import Envelope
 from currantspur.tasks.task import Task
 
-# Long enough for the queue of a full target to advance by a few requests.
-FULL_RETRY_AFTER_S = 0.3
 # A service without targets takes longer to get targets again, usually seconds.
 NO_TARGET_RETRY_AFTER_S = 0.5
 # Lower bound of measured work, as the subtracted round trip is only an estimate
@@ -142,7 +141,7 @@
         if not request.attempt_number:
             self.placement_state.record_request(request, now)
         if candidate is None:
-            return self._make_refusal(request)
+            return self._make_refusal(request, now)
         state = candidate.state
         state.own_in_flight += 1
         self.placement_state.spillover.limiter_for(request.service).record_sent(
@@ -159,21 +158,25 @@
             expected_s=candidate.expected_s,
             is_warm=candidate.is_warm,
             had_free_slot=candidate.is_free,
+            rank=candidate.rank,
         )
 
-    def _make_refusal(self, request: PlacementRequest) -> Refusal:
-        if any(list_eligible(request, self.placement_state)):
-            # Also if cold targets have reached their rate, or if there is room
-            # only in regions to which the limiter allows no request.
+    def _make_refusal(self, request: PlacementRequest, now: float) -> Refusal:
+        room_s = expect_room_s(request, self.placement_state, now)
+        if room_s is None:
             return Refusal(
-                code='no_room',
-                detail='every target that may run it is full',
-                retry_after_s=FULL_RETRY_AFTER_S,
+                code='no_target',
+                detail='no target may run it',
+                retry_after_s=plan_return_s(
+                    NO_TARGET_RETRY_AFTER_S, request.request_id
+                ),
             )
+        # Also if cold targets have reached their rate, or if there is room only
+        # in regions to which the limiter allows no request.
         return Refusal(
-            code='no_target',
-            detail='no target may run it',
-            retry_after_s=NO_TARGET_RETRY_AFTER_S,
+            code='no_room',
+            detail='no target is expected to respond in time',
+            retry_after_s=plan_return_s(room_s, request.request_id),
         )
 
     def _record_release(self, release: TargetRelease) -> None:
--- a/src/currantspur/tasks/forwarder.py
+++ b/src/currantspur/tasks/forwarder.py
@@ -218,6 +218,8 @@
             request=context.request.request_id,
             target=assignment.target.name,
             service=context.service,
+            object=assignment.request.object_key,
+            rank=assignment.rank,
             outcome=result.outcome,
             status=result.status,
             cause=failure.detail if failure else None,
--- a/src/currantspur/tasks/forwarding_state.py
+++ b/src/currantspur/tasks/forwarding_state.py
@@ -3,6 +3,7 @@
 from typing import Any, Final
 
 from currantspur.decisions.retries import may_retry
+from currantspur.decisions.return_time import plan_return_s
 from currantspur.errors import (
     TargetError,
     TargetFailedError,
@@ -143,7 +144,13 @@
             ),
             detail=f'{assignment.target.name}: {error}',
             not_run=not self.may_have_run,
-            retry_after_s=None if self.may_have_run else RETRY_AFTER_S,
+            retry_after_s=(
+                None
+                if self.may_have_run
+                else plan_return_s(
+                    RETRY_AFTER_S, self.context.request.request_id
+                )
+            ),
         )
 
 
--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -41,6 +41,34 @@
     assert plan_spill_share(make_loads(**loads), 'n') == pytest.approx(share)
 
 
+@pytest.mark.parametrize(
+    ('own_busy_slots', 'planned_share', 'share'),
+    [
+        # The region may keep 3 of its 6 slots.
+        (6.0, 0.0, 0.5),
+        (6.0, 0.6, 0.6),
+        # It takes work back below 0.6 of these.
+        (6.0, 0.9, 0.7),
+        (3.0, 0.3, 0.3),
+        (3.0, 0.6, 0.4),
+        (1.5, 0.6, 0.0),
+    ],
+)
+def test_plan_ignores_small_changes(own_busy_slots, planned_share, share):
+    loads = make_loads(n=(own_busy_slots, 6.0), s=(2.0, 18.0))
+    planned = plan_spill_share(loads, 'n', planned_share=planned_share)
+    assert planned == pytest.approx(share)
+
+
+@pytest.mark.parametrize(
+    ('other_busy_slots', 'share'), [(18.0, 0.5), (150.0, 0.0)]
+)
+def test_work_returns_from_busier_region(other_busy_slots, share):
+    loads = make_loads(n=(9.0, 6.0), s=(other_busy_slots, 18.0))
+    planned = plan_spill_share(loads, 'n', planned_share=0.5)
+    assert planned == pytest.approx(share)
+
+
 @pytest.mark.parametrize('busy_slots', [1.0, 5.0, 20.0, 60.0])
 def test_kept_work_is_within_limit_or_mean(busy_slots):
     loads = make_loads(n=(busy_slots, 6.0), s=(4.0, 18.0), t=(8.0, 12.0))
