--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -23,8 +23,8 @@
     for step in range(200):
         at = step / 10
         if step == restarted_at_step:
-            # A quarter of the instances is replaced.
-            replaced = fleet_size // 4
+            # Half of the instances are replaced.
+            replaced = fleet_size // 2
             budgets = make_budgets(fleet_size)[:replaced] + budgets[replaced:]
         for budget in budgets:
             requested.extend(record_requests(budget, per_s / fleet_size, at))
