Let the instances of a large region agree on the region of an object

Instances of a region sent the same object to the home target and to that of another region by turns. Each of 65 instances planned from the first requests that it saw itself, one or two; a request sent too much moved its threshold by a fifth of all objects; and one that preferred another region moved its own share.

Change: the correction and the smoothing are scaled by the instances of the region beyond three; with more than four none plans from its own first requests. The count follows the fleet size just after a start.

Tests: tests/test_object_homes.py; six of its rows on agreement and the one on plans fail with the count fixed to one instance.

--- a/src/currantspur/decisions/region_shift.py
+++ b/src/currantspur/decisions/region_shift.py
@@ -25,6 +25,10 @@
 # threshold. Each request sent too many or too few moves the threshold by this
 # much, so that only objects near it change their region.
 THRESHOLD_STEP_PER_REQUEST = 0.2
+# In a region with more instances each one sees only a few requests, and what it
+# sends too much another sends too little: it corrects less and measures longer,
+# so that all send the same objects.
+FULL_CORRECTION_INSTANCES = 3
 
 
 class ShiftDeficit:
@@ -60,6 +64,7 @@
         'current_share',
         'deficit',
         'fault_until',
+        'instance_factor',
         'max_change_per_s',
         'planned_share',
         'preferred_share',
@@ -80,6 +85,11 @@
         self.current_share = 0.0
         self.preferred_share = 0.0
         self.fault_until = float('-inf')
+        self.instance_factor = 1.0
+
+    def set_instance_count(self, count: int) -> None:
+        """Set the number of instances of the region."""
+        self.instance_factor = max(1.0, count / FULL_CORRECTION_INSTANCES)
 
     def should_cross_region(
         self,
@@ -125,10 +135,8 @@
     def _is_below_threshold(self, position: float) -> bool:
         if self.current_share <= 0:
             return False
-        threshold = (
-            self.current_share
-            + THRESHOLD_STEP_PER_REQUEST * self.deficit.requests
-        )
+        step = THRESHOLD_STEP_PER_REQUEST / self.instance_factor
+        threshold = self.current_share + step * self.deficit.requests
         return position < threshold
 
     def _update_share(self, at: float, *, prefers_cross_region: bool) -> None:
@@ -138,9 +146,10 @@
             self.updated_at = at
         elapsed_s = max(0.0, at - self.updated_at)
         self.updated_at = at
-        self.preferred_share += (
-            1 - exp(-elapsed_s / PREFERENCE_TIME_CONSTANT_S)
-        ) * (prefers_cross_region - self.preferred_share)
+        time_constant_s = PREFERENCE_TIME_CONSTANT_S * self.instance_factor
+        self.preferred_share += (1 - exp(-elapsed_s / time_constant_s)) * (
+            prefers_cross_region - self.preferred_share
+        )
         wanted_share = max(self.planned_share, self.preferred_share)
         if at < self.fault_until:
             self.current_share = max(self.current_share, wanted_share)
--- a/src/currantspur/decisions/spillover.py
+++ b/src/currantspur/decisions/spillover.py
@@ -15,6 +15,8 @@
 # are as many, but not beyond the maximum time.
 STARTUP_MIN_REQUESTS = 5
 MAX_STARTUP_MEASURE_S = 1.0
+# Instances in a region up to which each one measures the load at its start.
+MAX_MEASURING_INSTANCES = 4
 # Share of a region's slots in use above which its requests wait for each other.
 UTILIZATION_LIMIT = 0.5
 # Work returns to a region only up to this part of what it may keep. An object
@@ -134,9 +136,16 @@
         limiter = self.limiters.get(service)
         if limiter is None:
             limiter = RegionShiftLimiter(self.shift_cap, self.deficit)
+            limiter.set_instance_count(self.region_instance_count)
             self.limiters[service] = limiter
         return limiter
 
+    def set_instance_count(self, count: int) -> None:
+        """Set the number of instances in the own region."""
+        self.region_instance_count = max(1, count)
+        for limiter in self.limiters.values():
+            limiter.set_instance_count(self.region_instance_count)
+
     def plan(self, service: str, slots: Mapping[str, float]) -> None:
         """Plan a service's share from the load and the slots of all regions."""
         loads = {
@@ -163,9 +172,14 @@
         """
         self.meter.count(service, work_s)
         if service not in self.startup_meters:
-            is_load_known = bool(self.busy_slots_by_region.get(self.region))
+            # Of many instances each one sees too few requests to tell the load;
+            # their plans would differ, and each object with them.
+            is_measured_by_all = (
+                bool(self.busy_slots_by_region.get(self.region))
+                or self.region_instance_count > MAX_MEASURING_INSTANCES
+            )
             self.startup_meters[service] = StartupWorkMeter(
-                is_done=is_load_known
+                is_done=is_measured_by_all
             )
         return self.startup_meters[service].count(work_s, at)
 
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -338,7 +338,14 @@
             for instance in view.live_instances
             if instance.region == planner.region
         ]
-        planner.region_instance_count = max(1, len(own_region_instances))
+        regions = set(self.placement_state.topology.region_by_zone.values())
+        # Just after a start only the size of the fleet is known.
+        planner.set_instance_count(
+            max(
+                len(own_region_instances),
+                round(view.fleet_size / max(1, len(regions))),
+            )
+        )
         planner.busy_slots_by_region = view.busy_slots_by_region
         self.placement_state.plan_spillover(self.clock.now())
         for plan in planner.list_changed_plans():
