Use half of the retries that requests earn again

Fewer are refused, but the retries run on targets that are cold for the object, and fewer requests are answered in time: no gain for callers.

--- a/src/currantspur/decisions/retries.py
+++ b/src/currantspur/decisions/retries.py
@@ -4,8 +4,8 @@
 from currantspur.messages.limits import FleetLimits
 
 # Part of the operator's ratio that is used. A request may count for another
-# service while a configuration takes effect.
-EARNED_FACTOR = 0.9
+# service while a configuration takes effect, and retries load busy targets.
+EARNED_FACTOR = 0.5
 # Part of the operator's slack that an instance holds and regains in a window.
 # The rest is for instances that die: their replacements start with a new part
 # within the same window.
