Begin with the same share in all instances of a large region

Change: a region that has reported no load keeps its plan. With more than four instances in the region the share is set from the slots while no load is known, instead of from the plan at the first request.

Tests: new rows in tests/test_object_homes.py and tests/test_spillover.py.

--- a/src/currantspur/decisions/region_shift.py
+++ b/src/currantspur/decisions/region_shift.py
@@ -65,6 +65,7 @@
         'deficit',
         'fault_until',
         'instance_factor',
+        'is_share_set',
         'max_change_per_s',
         'planned_share',
         'preferred_share',
@@ -86,6 +87,7 @@
         self.preferred_share = 0.0
         self.fault_until = float('-inf')
         self.instance_factor = 1.0
+        self.is_share_set = False
 
     def set_instance_count(self, count: int) -> None:
         """Set the number of instances of the region."""
@@ -118,6 +120,7 @@
     def set_share(self, share: float) -> None:
         """Set the current share at once, where none was in force before."""
         self.current_share = share
+        self.is_share_set = True
 
     def record_sent(self, *, is_cross_region: bool) -> None:
         """Count a sent request in the deficit, except just after a fault.
@@ -142,7 +145,8 @@
     def _update_share(self, at: float, *, prefers_cross_region: bool) -> None:
         if self.updated_at is None:
             # No request was sent yet whose region could change.
-            self.set_share(self.planned_share)
+            if not self.is_share_set:
+                self.set_share(self.planned_share)
             self.updated_at = at
         elapsed_s = max(0.0, at - self.updated_at)
         self.updated_at = at
--- a/src/currantspur/decisions/spillover.py
+++ b/src/currantspur/decisions/spillover.py
@@ -55,7 +55,8 @@
     if total_busy_slots <= 0:
         return max(0.0, 1 - own.slots * len(loads) / total_slots)
     if own.busy_slots <= 0:
-        return 0.0
+        # Not heard from yet, or without callers: nothing has to move.
+        return planned_share
     kept_slots = (
         max(UTILIZATION_LIMIT, total_busy_slots / total_slots) * own.slots
     )
@@ -161,6 +162,12 @@
         limiter.planned_share = plan_spill_share(
             loads, self.region, planned_share=limiter.planned_share
         )
+        is_measured = any(load.busy_slots for load in loads.values())
+        is_first = not is_measured and limiter.updated_at is None
+        if is_first and self._has_many_instances():
+            # All begin with the same share, whenever their first request comes;
+            # loads arrive at different times.
+            limiter.set_share(limiter.planned_share)
 
     def record_request(
         self, service: str, work_s: float, at: float
@@ -176,7 +183,7 @@
             # their plans would differ, and each object with them.
             is_measured_by_all = (
                 bool(self.busy_slots_by_region.get(self.region))
-                or self.region_instance_count > MAX_MEASURING_INSTANCES
+                or self._has_many_instances()
             )
             self.startup_meters[service] = StartupWorkMeter(
                 is_done=is_measured_by_all
@@ -228,3 +235,6 @@
                     for region, by_service in self.busy_slots_by_region.items()
                 },
             )
+
+    def _has_many_instances(self) -> bool:
+        return self.region_instance_count > MAX_MEASURING_INSTANCES
--- a/tests/test_object_homes.py
+++ b/tests/test_object_homes.py
@@ -81,3 +81,27 @@
     times = (0.0, MAX_STARTUP_MEASURE_S)
     loads = [planner.record_request('s', 0.3, at) for at in times]
     assert (loads[-1] is not None) is is_measured
+
+
+@pytest.mark.parametrize('first_request_at', [0.0, 0.5, 1.5])
+def test_instances_begin_with_same_share(first_request_at):
+    planner = SpilloverPlanner(shift_cap=CAP, region='n')
+    planner.set_instance_count(65)
+    slots = {'n': 10.0, 's': 50.0}
+    # Heartbeats before the first requests report no load.
+    planner.busy_slots_by_region = {'n': {}, 's': {}}
+    planner.plan('s', slots)
+    before = planner.limiter_for('s').current_share
+    # The load of the other region is heard of first, then both.
+    for heard_at, busy_slots in ((0.2, {'s': 9.0}), (1.0, {'n': 7, 's': 9.0})):
+        if first_request_at < heard_at:
+            break
+        planner.busy_slots_by_region = {
+            region: {'s': busy} for region, busy in busy_slots.items()
+        }
+        planner.plan('s', slots)
+    limiter = planner.limiter_for('s')
+    limiter.should_cross_region(
+        first_request_at, prefers_cross_region=False, position=0.5
+    )
+    assert limiter.current_share == before
--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -52,6 +52,8 @@
         (3.0, 0.3, 0.3),
         (3.0, 0.6, 0.4),
         (1.5, 0.6, 0.0),
+        # Nothing was heard from the region itself.
+        (0.0, 0.6, 0.6),
     ],
 )
 def test_plan_ignores_small_changes(own_busy_slots, planned_share, share):
