Report queues and warm objects to the instances of the zone

Each of 195 instances meets a target about once a minute: none knew of the queue, nor that a second target was warm for the object by then.

Change: in fleets above 12 instances a heartbeat carries the newest responses of targets: object, and requests running and queued. The others of the zone raise their estimate of the load and take the target as warm for the object, so that an object whose first target is busy is shared between the targets that are warm for it. Heartbeats stay in the zone in such fleets; older builds ignore the field. The work time is learnt in PlacementState.

--- a/src/currantspur/decisions/heartbeat_fanout.py
+++ b/src/currantspur/decisions/heartbeat_fanout.py
@@ -21,6 +21,11 @@
 REPORT_AFTER_S = 1.6
 
 
+def is_small_fleet(table: MembershipTable) -> bool:
+    """Tell whether all instances exchange their heartbeats."""
+    return _is_small(table.list_peers())
+
+
 def list_heartbeat_recipients(
     table: MembershipTable, *, to_all_regions: bool
 ) -> Iterator[Instance]:
--- a/src/currantspur/decisions/spillover.py
+++ b/src/currantspur/decisions/spillover.py
@@ -4,7 +4,7 @@
 
 from currantspur.decisions.rate_meter import RateMeter
 from currantspur.decisions.region_shift import RegionShiftLimiter, ShiftDeficit
-from currantspur.messages import ServiceLoad, SpillPlan
+from currantspur.messages import SpillPlan
 from currantspur.messages.base import Message
 
 # An instance that starts together with its fleet has to place its first
@@ -190,9 +190,9 @@
             )
         return self.startup_meters[service].count(work_s, at)
 
-    def measure_busy_slots(self, at: float) -> ServiceLoad:
-        """Return the smoothed busy slots and start a new measurement."""
-        return ServiceLoad(busy_slots_by_service=self.meter.update_rates(at))
+    def measure_busy_slots(self, at: float) -> Mapping[str, float]:
+        """Return smoothed busy slots by service; start a new measurement."""
+        return self.meter.update_rates(at)
 
     def plan_from_own_load(
         self, service: str, busy_slots: float, slots: Mapping[str, float]
--- a/src/currantspur/decisions/target_state.py
+++ b/src/currantspur/decisions/target_state.py
@@ -176,10 +176,7 @@
         self.last_failure_score = self.failure_score(at) / 2
         self.failure_score_at = at
         if object_key is not None:
-            self.warm_keys[object_key] = None
-            self.warm_keys.move_to_end(object_key)
-            if len(self.warm_keys) > MAX_WARM_KEYS:
-                self.warm_keys.popitem(last=False)
+            add_warm_key(self, object_key)
 
     def record_failure(self, at: float) -> None:
         """Add 1 to the decayed failure score."""
@@ -200,5 +197,13 @@
         self.others_in_flight_at = at
 
 
+def add_warm_key(state: TargetState, object_key: str) -> None:
+    """Mark a target as warm for an object."""
+    state.warm_keys[object_key] = None
+    state.warm_keys.move_to_end(object_key)
+    if len(state.warm_keys) > MAX_WARM_KEYS:
+        state.warm_keys.popitem(last=False)
+
+
 def _decay(amount: float, seconds: float, half_life_s: float) -> float:
     return float(amount * 0.5 ** (max(0.0, seconds) / half_life_s))
--- a/src/currantspur/messages/__init__.py
+++ b/src/currantspur/messages/__init__.py
@@ -40,7 +40,12 @@
     ResponseHead,
     TargetRelease,
 )
-from currantspur.messages.targets import Target, TargetLoad
+from currantspur.messages.targets import (
+    PeerReports,
+    Target,
+    TargetLoad,
+    TargetReport,
+)
 
 __all__ = (
     'Assignment',
@@ -58,6 +63,7 @@
     'LookupResponse',
     'Message',
     'OutgoingRequest',
+    'PeerReports',
     'PlacementRequest',
     'Refusal',
     'RefusalCode',
@@ -73,6 +79,7 @@
     'Target',
     'TargetLoad',
     'TargetRelease',
+    'TargetReport',
     'TargetsUpdate',
     'Team',
     'TeamDemand',
--- a/src/currantspur/messages/fleet_state.py
+++ b/src/currantspur/messages/fleet_state.py
@@ -7,7 +7,7 @@
 
 from currantspur.messages.base import Message
 from currantspur.messages.configuration import Configuration
-from currantspur.messages.targets import Target
+from currantspur.messages.targets import Target, TargetReport
 
 # A moment before all others: there was no such event yet.
 NEVER = float('-inf')
@@ -154,6 +154,8 @@
       received here occupy.
     - ``reads_digests``: the instance learns of other zones by their digests,
       and so needs no heartbeats from there; older builds do not.
+    - ``target_reports``: what the instance saw of targets since its last
+      heartbeat.
     """
 
     __slots__ = (
@@ -166,6 +168,7 @@
         'requests_per_s_by_team',
         'revisions',
         'sequence_number',
+        'target_reports',
     )
 
     def __init__(
@@ -180,7 +183,9 @@
         revisions: Mapping[str, int] | None = None,
         busy_slots_by_service: Mapping[str, float] | None = None,
         reads_digests: bool = True,
+        target_reports: tuple[TargetReport, ...] = (),
     ) -> None:
+        self.target_reports = target_reports
         self.reads_digests = reads_digests
         self.is_ready = is_ready
         self.instance = instance
@@ -315,11 +320,21 @@
 
 
 class ServiceLoad(Message):
-    """Estimated slots that this instance's requests occupy, by service."""
+    """The load that this instance caused and saw.
 
-    __slots__ = ('busy_slots_by_service',)
+    - ``busy_slots_by_service``: estimated slots that its requests occupy.
+    - ``target_reports``: what it saw of targets since the last message.
+    """
+
+    __slots__ = ('busy_slots_by_service', 'target_reports')
 
-    def __init__(self, *, busy_slots_by_service: Mapping[str, float]) -> None:
+    def __init__(
+        self,
+        *,
+        busy_slots_by_service: Mapping[str, float],
+        target_reports: tuple[TargetReport, ...] = (),
+    ) -> None:
+        self.target_reports = target_reports
         self.busy_slots_by_service = busy_slots_by_service
 
 
--- a/src/currantspur/messages/targets.py
+++ b/src/currantspur/messages/targets.py
@@ -56,3 +56,29 @@
         self.running = running
         self.queued = queued
         self.slots = slots
+
+
+class TargetReport(Message):
+    """A response of a target, as one instance saw it.
+
+    - ``object_key``: the object that the target is warm for now, or None.
+    - ``in_flight``: other requests that the target ran or queued.
+    """
+
+    __slots__ = ('in_flight', 'object_key', 'target')
+
+    def __init__(
+        self, *, target: str, object_key: str | None, in_flight: int
+    ) -> None:
+        self.target = target
+        self.object_key = object_key
+        self.in_flight = in_flight
+
+
+class PeerReports(Message):
+    """The target reports of another instance of the zone."""
+
+    __slots__ = ('reports',)
+
+    def __init__(self, reports: tuple[TargetReport, ...]) -> None:
+        self.reports = reports
--- a/src/currantspur/pipelines/placement.py
+++ b/src/currantspur/pipelines/placement.py
@@ -21,9 +21,12 @@
 from currantspur.decisions.token_bucket import TokenBucket
 from currantspur.decisions.topology import Topology
 from currantspur.decisions.work_time import WorkTimeEstimator
-from currantspur.messages import PlacementRequest
+from currantspur.messages import Assignment, PlacementRequest
 
 TargetStates = Iterable[TargetState]
+# Lower bound of measured work, as the subtracted round trip is only an estimate
+# and may exceed the duration.
+MIN_WORK_S = 0.001
 # An absent target gets this part of the rate of a cold one: all instances send
 # to it, and their requests may arrive together when it responds again.
 ABSENT_RATE_FACTOR = 0.5
@@ -99,6 +102,22 @@
                 request.service, busy_slots, slots
             )
 
+    def record_latency(
+        self, target_state: TargetState, assignment: Assignment, at: float
+    ) -> None:
+        """Learn the work time from a response without time in a queue."""
+        if not assignment.had_free_slot:
+            return
+        zone = assignment.target.availability_zone
+        round_trip_s = self.topology.round_trip_s(zone)
+        work_s = max(MIN_WORK_S, at - assignment.assigned_at - round_trip_s)
+        times = self.work_times_for(assignment.request)
+        # Requests of another instance may have warmed the target.
+        is_warm = assignment.is_warm or times.looks_warm(work_s)
+        expected_s = times.expected_work_s(is_warm=is_warm)
+        times.update(work_s, is_warm=is_warm)
+        target_state.record_latency_ratio(work_s / expected_s, at)
+
     def work_times_for(self, request: PlacementRequest) -> WorkTimeEstimator:
         """Return the estimator of the request's route, a new one if needed."""
         estimator = self.work_times.get(request.route.name)
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -5,6 +5,10 @@
 
 from currantspur.decisions.retries import RetryBudgets
 from currantspur.decisions.return_time import plan_return_s
+from currantspur.decisions.target_reports import (
+    ReportCollector,
+    apply_report,
+)
 from currantspur.decisions.target_retention import TargetRetention
 from currantspur.decisions.target_state import TargetState
 from currantspur.decisions.topology import Topology
@@ -15,8 +19,10 @@
     EvacuationsUpdate,
     FleetView,
     Message,
+    PeerReports,
     PlacementRequest,
     Refusal,
+    ServiceLoad,
     Target,
     TargetRelease,
     TargetsUpdate,
@@ -37,9 +43,6 @@
 
 # A service without targets takes longer to get targets again, usually seconds.
 NO_TARGET_RETRY_AFTER_S = 0.5
-# Lower bound of measured work, as the subtracted round trip is only an estimate
-# and may exceed the duration.
-MIN_WORK_S = 0.001
 # Outcomes that count as a failure of the target, and those of them that
 # indicate a fault in the own region rather than an overload.
 FAILURE_OUTCOMES = frozenset(
@@ -64,6 +67,7 @@
         'journal',
         'limits',
         'placement_state',
+        'report_collector',
         'retry_budgets',
         'target_retention',
         'target_states',
@@ -86,6 +90,7 @@
         self.placement_state = PlacementState(
             topology, shift_cap=limits.shift_cap, instance_name=instance
         )
+        self.report_collector = ReportCollector()
         self.target_retention = TargetRetention()
         self.targets_revision = -1
         self.target_states: dict[str, TargetState] = {}
@@ -95,6 +100,7 @@
             ConfigurationUpdate: self._apply_configuration,
             EvacuationsUpdate: self._apply_evacuations,
             FleetView: self._apply_fleet_view,
+            PeerReports: self._apply_peer_reports,
             TargetRelease: self._record_release,
             TargetsUpdate: self._apply_targets,
         }
@@ -107,10 +113,7 @@
             if isinstance(message, PlacementRequest):
                 placement_requests.append((envelope, message))
             elif isinstance(message, Tick):
-                load = self.placement_state.spillover.measure_busy_slots(
-                    self.clock.now()
-                )
-                envelope.set_reply(load)
+                envelope.set_reply(self._measure_load())
             else:
                 self.handle_message(message)
         for envelope, request in placement_requests:
@@ -122,6 +125,22 @@
         if handler is not None:
             handler(message)
 
+    def _measure_load(self) -> ServiceLoad:
+        spillover = self.placement_state.spillover
+        return ServiceLoad(
+            busy_slots_by_service=spillover.measure_busy_slots(
+                self.clock.now()
+            ),
+            target_reports=self.report_collector.take_reports(),
+        )
+
+    def _apply_peer_reports(self, message: PeerReports) -> None:
+        now = self.clock.now()
+        for report in message.reports:
+            state = self.target_states.get(report.target)
+            if state is not None:
+                apply_report(state, report, now)
+
     def _reply(self, envelope: Envelope, request: PlacementRequest) -> None:
         if envelope.reply_future is None or envelope.reply_future.done():
             return
@@ -141,7 +160,7 @@
         if not request.attempt_number:
             self.placement_state.record_request(request, now)
         if candidate is None:
-            return self._make_refusal(request, now)
+            return _make_refusal(request, self.placement_state, now)
         state = candidate.state
         state.own_in_flight += 1
         self.placement_state.spillover.limiter_for(request.service).record_sent(
@@ -161,24 +180,6 @@
             rank=candidate.rank,
         )
 
-    def _make_refusal(self, request: PlacementRequest, now: float) -> Refusal:
-        room_s = expect_room_s(request, self.placement_state, now)
-        if room_s is None:
-            return Refusal(
-                code='no_target',
-                detail='no target may run it',
-                retry_after_s=plan_return_s(
-                    NO_TARGET_RETRY_AFTER_S, request.request_id
-                ),
-            )
-        # Also if cold targets have reached their rate, or if there is room only
-        # in regions to which the limiter allows no request.
-        return Refusal(
-            code='no_room',
-            detail='no target is expected to respond in time',
-            retry_after_s=plan_return_s(room_s, request.request_id),
-        )
-
     def _record_release(self, release: TargetRelease) -> None:
         assignment = release.assignment
         state = self.target_states.get(assignment.target.name)
@@ -188,9 +189,10 @@
         state.own_in_flight = max(0, state.own_in_flight - 1)
         if release.load is not None:
             state.update_load(release.load, now)
+            self.report_collector.record(release)
         if release.outcome == 'answered':
             state.record_success(now, assignment.request.object_key)
-            self._record_latency(state, assignment, now)
+            self.placement_state.record_latency(state, assignment, now)
         elif release.outcome == 'shed':
             state.record_rejection(now)
         elif release.outcome in FAILURE_OUTCOMES:
@@ -218,21 +220,6 @@
                 now
             )
 
-    def _record_latency(
-        self, state: TargetState, assignment: Assignment, now: float
-    ) -> None:
-        if not assignment.had_free_slot:
-            return
-        zone = assignment.target.availability_zone
-        round_trip_s = self.placement_state.topology.round_trip_s(zone)
-        work_s = max(MIN_WORK_S, now - assignment.assigned_at - round_trip_s)
-        times = self.placement_state.work_times_for(assignment.request)
-        # Requests of another instance may have warmed the target.
-        is_warm = assignment.is_warm or times.looks_warm(work_s)
-        expected_s = times.expected_work_s(is_warm=is_warm)
-        times.update(work_s, is_warm=is_warm)
-        state.record_latency_ratio(work_s / expected_s, now)
-
     def _apply_configuration(self, update: ConfigurationUpdate) -> None:
         configuration = update.configuration
         if configuration.version <= self.configuration.version:
@@ -350,3 +337,24 @@
         self.placement_state.plan_spillover(self.clock.now())
         for plan in planner.list_changed_plans():
             self.journal.note('spill_planned', **dict(fields(plan)))
+
+
+def _make_refusal(
+    request: PlacementRequest, state: PlacementState, now: float
+) -> Refusal:
+    room_s = expect_room_s(request, state, now)
+    if room_s is None:
+        return Refusal(
+            code='no_target',
+            detail='no target may run it',
+            retry_after_s=plan_return_s(
+                NO_TARGET_RETRY_AFTER_S, request.request_id
+            ),
+        )
+    # Also if cold targets have reached their rate, or if there is room only
+    # in regions to which the limiter allows no request.
+    return Refusal(
+        code='no_room',
+        detail='no target is expected to respond in time',
+        retry_after_s=plan_return_s(room_s, request.request_id),
+    )
--- a/src/currantspur/tasks/membership.py
+++ b/src/currantspur/tasks/membership.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from currantspur.decisions.heartbeat_fanout import (
+    is_small_fleet,
     list_digest_recipients,
     list_heartbeat_recipients,
     list_zone_peers,
@@ -20,6 +21,7 @@
     LookupQuery,
     LookupResponse,
     Message,
+    PeerReports,
     ServiceLoad,
     ShutdownStarted,
     TeamDemand,
@@ -162,6 +164,9 @@
         self.on_peer_revisions(
             heartbeat.revisions, now, heartbeat.instance.peer
         )
+        if heartbeat.target_reports:
+            self.dispatcher.post(PeerReports(heartbeat.target_reports))
+            heartbeat.target_reports = ()
         if self.membership_table.record_heartbeat(heartbeat, now):
             self._publish_view()
             if heartbeat.is_leaving:
@@ -189,9 +194,9 @@
         self._send_heartbeat()
 
     def _update_busy_slots(self, load: ServiceLoad) -> None:
-        self.membership_table.own_heartbeat.busy_slots_by_service = (
-            load.busy_slots_by_service
-        )
+        own = self.membership_table.own_heartbeat
+        own.busy_slots_by_service = load.busy_slots_by_service
+        own.target_reports = load.target_reports
 
     def _update_demand_and_send_heartbeat(self, demand: TeamDemand) -> None:
         # The busy slots of this heartbeat were posted before the demand.
@@ -241,7 +246,11 @@
         recipients = list_heartbeat_recipients(
             self.membership_table, to_all_regions=to_all_regions
         )
+        if is_small_fleet(self.membership_table):
+            # Each instance sees enough of the targets by itself.
+            own.target_reports = ()
         self.heartbeat_port.send(own, [peer.peer for peer in recipients])
+        own.target_reports = ()
         self._send_digest()
 
     def _send_digest(self) -> None:
--- a/src/currantspur/wire/heartbeats.py
+++ b/src/currantspur/wire/heartbeats.py
@@ -1,13 +1,19 @@
 """Exchange heartbeats and zone digests over UDP."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import Any, cast
 
 import orjson
 
 from currantspur.errors import MALFORMED_INPUT_ERRORS
-from currantspur.messages import Heartbeat, Instance, ZoneDigest, fields
+from currantspur.messages import (
+    Heartbeat,
+    Instance,
+    TargetReport,
+    ZoneDigest,
+    fields,
+)
 from currantspur.pipelines.instance_rows import InstanceCodec
 from currantspur.settings.document import split_address
 from currantspur.tasks.mailbox import Mailbox
@@ -116,6 +122,10 @@
         'revisions': heartbeat.revisions,
         'work': round_slots(heartbeat.busy_slots_by_service),
         'digests': heartbeat.reads_digests,
+        'targets': [
+            (report.target, report.object_key, report.in_flight)
+            for report in heartbeat.target_reports
+        ],
     }
     return pack_with_rates(
         document, heartbeat.requests_per_s_by_team, MAX_DATAGRAM_BYTES
@@ -145,9 +155,19 @@
         busy_slots_by_service=parse_amounts(document['work']),
         # Builds without digests do not have the field.
         reads_digests=bool(document.get('digests', False)),
+        target_reports=tuple(_parse_reports(document.get('targets', ()))),
     )
 
 
+def _parse_reports(document: Any) -> Iterator[TargetReport]:
+    for target, object_key, in_flight in document:
+        yield TargetReport(
+            target=str(target),
+            object_key=None if object_key is None else str(object_key),
+            in_flight=int(in_flight),
+        )
+
+
 def _instance_to_dict(instance: Instance) -> dict[str, Any]:
     return dict(fields(instance))
 
