--- a/src/currantspur/decisions/region_shift.py
+++ b/src/currantspur/decisions/region_shift.py
@@ -25,9 +25,10 @@
 # threshold. Each request sent too many or too few moves the threshold by this
 # much, so that only objects near it change their region.
 THRESHOLD_STEP_PER_REQUEST = 0.2
-# In a region with more instances each one sees only a few requests, and what it
-# sends too much another sends too little: it corrects less and measures longer,
-# so that all send the same objects.
+# Up to this many instances in the region each one corrects by the full step. Of
+# more, each sees only a few requests, and what one sends too much another sends
+# too little: they correct less and measure longer, so that all send the same
+# objects.
 FULL_CORRECTION_INSTANCES = 3
 
 
@@ -86,6 +87,7 @@
         self.current_share = 0.0
         self.preferred_share = 0.0
         self.fault_until = float('-inf')
+        # Instances of the region, as a multiple of FULL_CORRECTION_INSTANCES.
         self.instance_factor = 1.0
         self.is_share_set = False
 
--- a/src/currantspur/decisions/spillover.py
+++ b/src/currantspur/decisions/spillover.py
@@ -43,9 +43,10 @@
     """Return the share, from 0 to 1, of a region's work to run elsewhere.
 
     A region keeps work up to UTILIZATION_LIMIT of its slots, or up to the mean
-    utilization of all regions where that is higher. Of the share planned
-    before, work returns up to RETURN_FACTOR of that. Before any load is
-    measured, callers are assumed to be spread evenly over the regions.
+    utilization of all regions where that is higher. Work that was planned to
+    run elsewhere returns only until the region keeps RETURN_FACTOR of that.
+    Before any load is measured, callers are assumed to be spread evenly over
+    the regions.
     """
     own = loads.get(region, RegionLoad())
     total_slots = sum(load.slots for load in loads.values())
@@ -181,12 +182,9 @@
         if service not in self.startup_meters:
             # Of many instances each one sees too few requests to tell the load;
             # their plans would differ, and each object with them.
-            is_measured_by_all = (
-                bool(self.busy_slots_by_region.get(self.region))
-                or self._has_many_instances()
-            )
+            is_load_known = bool(self.busy_slots_by_region.get(self.region))
             self.startup_meters[service] = StartupWorkMeter(
-                is_done=is_measured_by_all
+                is_done=is_load_known or self._has_many_instances()
             )
         return self.startup_meters[service].count(work_s, at)
 
--- a/src/currantspur/pipelines/placement.py
+++ b/src/currantspur/pipelines/placement.py
@@ -345,11 +345,18 @@
     Return None if no target may run the request.
     """
     shortlist = state.shortlists.find(request.service, request.object_key, at)
-    states = filter_eligible(shortlist, request, state)
-    states = without_excluded(states, request.excluded_targets)
-    candidates = with_load(states, request, state, at)
-    candidates = with_costs(candidates, request, state, at)
-    return min((candidate.wait_s for candidate in candidates), default=None)
+    everything = state.states_by_service.get(request.service, ())
+    for states in (shortlist, everything):
+        eligible = filter_eligible(states, request, state)
+        untried = without_excluded(eligible, request.excluded_targets)
+        candidates = with_load(untried, request, state, at)
+        waits_s = [
+            candidate.wait_s
+            for candidate in with_costs(candidates, request, state, at)
+        ]
+        if waits_s:
+            return min(waits_s)
+    return None
 
 
 def choose_target(
--- a/tests/test_shortlist.py
+++ b/tests/test_shortlist.py
@@ -14,7 +14,11 @@
 from currantspur.decisions.topology import Topology
 from currantspur.messages import PlacementRequest, Target
 from currantspur.pipelines import PlacementState, choose_target
-from currantspur.pipelines.placement import find_cheapest, list_candidates
+from currantspur.pipelines.placement import (
+    expect_room_s,
+    find_cheapest,
+    list_candidates,
+)
 from tests.routes import make_route
 
 REGIONS = {'n1': 'n', 'n2': 'n', 's1': 's'}
@@ -93,6 +97,14 @@
     assert chosen.state not in find_shortlist(state)
 
 
+def test_room_is_found_beyond_the_shortlist():
+    targets = make_targets(300, zones=('n1', 'n2'))
+    state = make_state(targets)
+    for each in find_shortlist(state):
+        each.target.is_draining = True
+    assert expect_room_s(make_request('17'), state, 1.0) == pytest.approx(0.0)
+
+
 @pytest.mark.parametrize(
     ('change', 'is_kept'),
     [
