--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -58,7 +58,7 @@
 
 
 @pytest.mark.parametrize('seed', [1, 2, 3])
-def test_region_short_of_targets_is_served_as_well(seed):
+def test_short_region_is_served_as_well(seed):
     results = simulate(
         Scenario(requests_per_s=45.0, seed=seed), POLICIES['placement']
     )
