Tell callers of a few instances in each zone, as many as it needs

Cause: one of 195 instances gets three requests a second. It meets a target about once a minute, so that it knows no queue and opens a connection for nearly every request; its part of each limit is less than one request. Requests without a team count in the demand, under an empty name.

--- a/src/currantspur/decisions/lookup.py
+++ b/src/currantspur/decisions/lookup.py
@@ -16,14 +16,14 @@
 def answer_lookup(
     view: FleetView, query: LookupQuery, *, ttl_s: float = CACHE_TTL_S
 ) -> LookupResponse:
-    """Return the live instances that are nearest to the caller.
+    """Return those of the chosen instances that are nearest to the caller.
 
     They are those of its availability zone; if there are none, those of its
     region; if there are none either, all. `ttl_s` is the time for which the
     caller may cache the response.
     """
     by_distance: dict[int, list[Instance]] = {}
-    for instance in view.live_instances:
+    for instance in view.caller_instances:
         distance = _rank_distance(instance, query)
         by_distance.setdefault(distance, []).append(instance)
     nearest = by_distance[min(by_distance)] if by_distance else []
--- a/src/currantspur/decisions/membership_table.py
+++ b/src/currantspur/decisions/membership_table.py
@@ -3,6 +3,11 @@
 from collections.abc import Iterable, Iterator, Mapping
 
 from currantspur.decisions.sequence_order import SequenceOrder
+from currantspur.decisions.subsetting import (
+    choose_subset,
+    count_senders,
+    divide_limits,
+)
 from currantspur.decisions.zone_digests import ZoneDigestTable
 from currantspur.messages import FleetView, Heartbeat, Instance, ZoneDigest
 
@@ -151,10 +156,23 @@
         known_count = len(counted) + sum(
             digest.counted_instances for digest in digests
         )
+        fleet_size = self._estimate_fleet_size(known_count, at)
+        callers_use = tuple(choose_subset(live, sum_by_zone(counted, digests)))
+        sender_count = count_senders(
+            live=live, subset=callers_use, fleet_size=fleet_size
+        )
         return FleetView(
             live_instances=live,
+            caller_instances=callers_use,
             reachable_instances=self._list_reachable(live, at),
-            fleet_size=self._estimate_fleet_size(known_count, at),
+            fleet_size=fleet_size,
+            sender_count=sender_count,
+            limit_divisor=divide_limits(
+                self.own_heartbeat.instance.name,
+                callers_use,
+                sender_count=sender_count,
+                fleet_size=fleet_size,
+            ),
             requests_per_s_by_team=sum_by_key(
                 (
                     *(each.requests_per_s_by_team for each in counted),
@@ -261,6 +279,22 @@
     return heartbeat.is_ready and not heartbeat.is_leaving
 
 
+def sum_by_zone(
+    heartbeats: Iterable[Heartbeat], digests: Iterable[ZoneDigest]
+) -> dict[str, float]:
+    """Return the requests per second received in each availability zone."""
+    totals: dict[str, float] = {}
+    for heartbeat in heartbeats:
+        zone = heartbeat.instance.availability_zone
+        received = sum(heartbeat.requests_per_s_by_team.values())
+        totals[zone] = totals.get(zone, 0.0) + received
+    for digest in digests:
+        zone = digest.availability_zone
+        received = sum(digest.requests_per_s_by_team.values())
+        totals[zone] = totals.get(zone, 0.0) + received
+    return totals
+
+
 def sum_by_key(mappings: Iterable[Mapping[str, float]]) -> dict[str, float]:
     """Return the sums of the amounts by key over all mappings."""
     totals: dict[str, float] = {}
--- a/src/currantspur/decisions/rate_share.py
+++ b/src/currantspur/decisions/rate_share.py
@@ -15,7 +15,7 @@
     *,
     own_demand_per_s: float,
     total_demand_per_s: float,
-    fleet_size: int,
+    limit_divisor: float,
 ) -> float:
     """Return the part of a team's rate that an instance may use, per second.
 
@@ -26,7 +26,7 @@
     if total_demand_per_s > rate_per_s:
         return rate_per_s * own_demand_per_s / total_demand_per_s
     spare_per_s = rate_per_s - total_demand_per_s
-    return own_demand_per_s + spare_per_s / max(1, fleet_size)
+    return own_demand_per_s + spare_per_s / max(1.0, limit_divisor)
 
 
 class RateShare:
--- a/src/currantspur/decisions/retries.py
+++ b/src/currantspur/decisions/retries.py
@@ -24,7 +24,12 @@
     __slots__ = ('bucket', 'ratio', 'slack', 'window_s')
 
     def __init__(
-        self, *, ratio: float, slack: float, window_s: float, fleet_size: int
+        self,
+        *,
+        ratio: float,
+        slack: float,
+        window_s: float,
+        limit_divisor: float,
     ) -> None:
         """Start with a full budget.
 
@@ -35,12 +40,12 @@
         self.slack = slack
         self.window_s = window_s
         self.bucket = TokenBucket(rate_per_s=0.0, burst=0.0, at=0.0)
-        self.update_fleet_size(fleet_size=fleet_size, at=0.0)
+        self.update_limit_divisor(limit_divisor=limit_divisor, at=0.0)
         self.bucket.tokens = self.bucket.burst
 
-    def update_fleet_size(self, *, fleet_size: int, at: float) -> None:
-        """Set the number of instances that divide the slack."""
-        own_slack = SLACK_FACTOR * self.slack / max(1, fleet_size)
+    def update_limit_divisor(self, *, limit_divisor: float, at: float) -> None:
+        """Set the number that divides the slack."""
+        own_slack = SLACK_FACTOR * self.slack / max(1.0, limit_divisor)
         self.bucket.reconfigure(
             rate_per_s=own_slack / self.window_s,
             burst=max(MIN_BURST, own_slack),
@@ -61,11 +66,11 @@
 class RetryBudgets:
     """The retry budgets of all services."""
 
-    __slots__ = ('by_service', 'fleet_size', 'limits')
+    __slots__ = ('by_service', 'limit_divisor', 'limits')
 
     def __init__(self, limits: FleetLimits) -> None:
         self.limits = limits
-        self.fleet_size = 1
+        self.limit_divisor = 1.0
         self.by_service: dict[str, RetryBudget] = {}
 
     def get_or_create(self, service: str) -> RetryBudget:
@@ -76,7 +81,7 @@
                 ratio=self.limits.retry_ratio,
                 slack=self.limits.retry_slack,
                 window_s=self.limits.retry_window_s,
-                fleet_size=self.fleet_size,
+                limit_divisor=self.limit_divisor,
             )
             self.by_service[service] = budget
         return budget
@@ -90,11 +95,11 @@
         for removed in set(self.by_service) - services:
             self.by_service.pop(removed)
 
-    def update_fleet_size(self, *, fleet_size: int, at: float) -> None:
-        """Set the number of instances that divide the slack of each budget."""
-        self.fleet_size = max(1, fleet_size)
+    def update_limit_divisor(self, *, limit_divisor: float, at: float) -> None:
+        """Set the number that divides the slack of each budget."""
+        self.limit_divisor = max(1.0, limit_divisor)
         for budget in self.by_service.values():
-            budget.update_fleet_size(fleet_size=fleet_size, at=at)
+            budget.update_limit_divisor(limit_divisor=limit_divisor, at=at)
 
 
 def may_retry(
--- a/src/currantspur/messages/fleet_state.py
+++ b/src/currantspur/messages/fleet_state.py
@@ -259,12 +259,17 @@
     """The fleet as one instance sees it, from heartbeats and zone digests.
 
     - ``live_instances``: instances that callers may use.
+    - ``caller_instances``: the live ones that look-ups return.
     - ``reachable_instances``: instances that may be asked for table rows,
       ready or not; just after the start those that the store lists.
-    - ``fleet_size``: number of instances that divide limits: those that may
-      send requests to targets, also silent ones. Just after the start it is
+    - ``fleet_size``: number of instances that may send requests to targets,
+      also silent ones. Just after the start it is
       at least the number listed in the store, or a default until that is
       read.
+    - ``sender_count``: number of instances that callers use; just after the
+      start an estimate.
+    - ``limit_divisor``: this instance may use one part in so many of each
+      limit.
     - ``requests_per_s_by_team``: rates of requests received by the fleet.
     - ``own_requests_per_s_by_team``: the part received by this instance.
     - ``busy_slots_by_region``: estimated slots of targets that requests
@@ -273,12 +278,15 @@
 
     __slots__ = (
         'busy_slots_by_region',
+        'caller_instances',
         'computed_at',
         'fleet_size',
+        'limit_divisor',
         'live_instances',
         'own_requests_per_s_by_team',
         'reachable_instances',
         'requests_per_s_by_team',
+        'sender_count',
     )
 
     def __init__(
@@ -287,14 +295,25 @@
         live_instances: tuple[Instance, ...],
         fleet_size: int,
         computed_at: float,
+        caller_instances: tuple[Instance, ...] | None = None,
+        sender_count: int | None = None,
+        limit_divisor: float | None = None,
         reachable_instances: tuple[Instance, ...] = (),
         requests_per_s_by_team: Mapping[str, float] | None = None,
         own_requests_per_s_by_team: Mapping[str, float] | None = None,
         busy_slots_by_region: Mapping[str, Mapping[str, float]] | None = None,
     ) -> None:
+        """Record a view; by default callers use all live instances."""
         self.live_instances = live_instances
+        self.caller_instances = (
+            live_instances if caller_instances is None else caller_instances
+        )
         self.reachable_instances = reachable_instances
         self.fleet_size = fleet_size
+        self.sender_count = fleet_size if sender_count is None else sender_count
+        self.limit_divisor = (
+            fleet_size if limit_divisor is None else limit_divisor
+        )
         self.requests_per_s_by_team = requests_per_s_by_team or {}
         self.own_requests_per_s_by_team = own_requests_per_s_by_team or {}
         self.busy_slots_by_region = busy_slots_by_region or {}
--- a/src/currantspur/pipelines/admission.py
+++ b/src/currantspur/pipelines/admission.py
@@ -20,6 +20,10 @@
 MIN_RETRY_AFTER_S = 0.05
 
 
+# Counts the requests of callers without a key; no team has this name.
+NO_TEAM = ''
+
+
 class AdmissionState:
     """The state that the admission filters read; one task owns it."""
 
@@ -157,9 +161,7 @@
 
     def check(self, context: RequestContext) -> Refusal | None:
         """Refuse if no token is left, with the seconds until there is one."""
-        team = context.team
-        if team is None:
-            return None
+        team = context.team or NO_TEAM
         self.state.team_request_meter.count(team)
         rate_share = self.state.rate_shares.get(team)
         if rate_share is None:
--- a/src/currantspur/pipelines/placement.py
+++ b/src/currantspur/pipelines/placement.py
@@ -43,8 +43,9 @@
         'cold_per_s_by_service',
         'cost_model',
         'evacuated_zones',
-        'fleet_size',
         'instance_name',
+        'limit_divisor',
+        'sender_count',
         'shortlists',
         'spillover',
         'states_by_service',
@@ -71,7 +72,10 @@
         # Fleet-wide requests per second to each cold target, by service.
         self.cold_per_s_by_service: Mapping[str, float] = {}
         self.evacuated_zones: frozenset[str] = frozenset()
-        self.fleet_size = 1
+        # Of the fleet: the instances that callers use, and the number by which
+        # this one divides limits.
+        self.sender_count = 1
+        self.limit_divisor = 1.0
         # By name of the route.
         self.work_times: dict[str, WorkTimeEstimator] = {}
 
@@ -211,7 +215,7 @@
     )
     if target_state.is_absent:
         total_per_s = ABSENT_RATE_FACTOR * (total_per_s or DEFAULT_COLD_PER_S)
-    rate_per_s = total_per_s / max(1, state.fleet_size)
+    rate_per_s = total_per_s / max(1.0, state.limit_divisor)
     bucket = target_state.cold_bucket
     if bucket is None:
         # The buckets of different instances start with different amounts, or
@@ -291,7 +295,7 @@
             rank=rank,
             at=at,
             sends_warmups=state.shortlists.sends_warmups(
-                candidate.state, state.fleet_size
+                candidate.state, state.sender_count
             ),
         )
         yield candidate
--- a/src/currantspur/tasks/admission.py
+++ b/src/currantspur/tasks/admission.py
@@ -122,7 +122,7 @@
                 team.name, 0.0
             ),
             total_demand_per_s=view.requests_per_s_by_team.get(team.name, 0.0),
-            fleet_size=view.fleet_size,
+            limit_divisor=view.limit_divisor,
         )
         rate_share = self.state.rate_shares.get(team.name)
         if rate_share is None:
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -305,10 +305,11 @@
         return True
 
     def _apply_fleet_view(self, view: FleetView) -> None:
-        self.placement_state.fleet_size = max(1, view.fleet_size)
+        self.placement_state.sender_count = max(1, view.sender_count)
+        self.placement_state.limit_divisor = view.limit_divisor
         self._plan_spillover(view)
-        self.retry_budgets.update_fleet_size(
-            fleet_size=view.fleet_size, at=view.computed_at
+        self.retry_budgets.update_limit_divisor(
+            limit_divisor=view.limit_divisor, at=view.computed_at
         )
         # A fleet view arrives with each heartbeat that this instance sends,
         # often enough to notice that the retention has ended.
@@ -322,7 +323,7 @@
         planner = self.placement_state.spillover
         own_region_instances = [
             instance
-            for instance in view.live_instances
+            for instance in view.caller_instances
             if instance.region == planner.region
         ]
         regions = set(self.placement_state.topology.region_by_zone.values())
@@ -330,7 +331,7 @@
         planner.set_instance_count(
             max(
                 len(own_region_instances),
-                round(view.fleet_size / max(1, len(regions))),
+                round(view.sender_count / max(1, len(regions))),
             )
         )
         planner.busy_slots_by_region = view.busy_slots_by_region
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -229,7 +229,7 @@
         state = make_state('n1', cold_remaining_s=3.0)
         state.instance_name = f'entry-{number}'
         state.cold_per_s_by_service = {'s': COLD_PER_S}
-        state.fleet_size = fleet_size
+        state.limit_divisor = fleet_size
         target = state.states_by_service['s'][0]
         for step in range(58):
             at = step / 20
--- a/tests/test_rate_share.py
+++ b/tests/test_rate_share.py
@@ -14,7 +14,7 @@
             rate,
             own_demand_per_s=demand_by_name.get(name, 0.0),
             total_demand_per_s=sum(demand_by_name.values()),
-            fleet_size=len(NAMES),
+            limit_divisor=len(NAMES),
         )
         for name in NAMES
     )
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -8,7 +8,10 @@
 def make_budgets(fleet_size):
     return [
         RetryBudget(
-            ratio=RATIO, slack=SLACK, window_s=WINDOW_S, fleet_size=fleet_size
+            ratio=RATIO,
+            slack=SLACK,
+            window_s=WINDOW_S,
+            limit_divisor=fleet_size,
         )
         for _ in range(fleet_size)
     ]
--- a/tests/test_zone_digests.py
+++ b/tests/test_zone_digests.py
@@ -234,7 +234,7 @@
         100.0,
         own_demand_per_s=view.own_requests_per_s_by_team['t'],
         total_demand_per_s=view.requests_per_s_by_team['t'],
-        fleet_size=view.fleet_size,
+        limit_divisor=view.limit_divisor,
     )
 
 
