Hold requests for the first configuration; read the list while registering

The list of relays was read only after the own row was written, one of 70 writes to the same part of the store. Change: admission and dispatcher hold up to 256 requests for 0.7 s until the first configuration and the first targets; the list is read meanwhile, but not at the first start of the fleet.

--- a/src/currantspur/tasks/admission.py
+++ b/src/currantspur/tasks/admission.py
@@ -20,6 +20,7 @@
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.mailbox import Envelope
+from currantspur.tasks.startup_hold import StartupHold
 from currantspur.tasks.task import Task
 
 # Requests per second and requests in a burst.
@@ -40,6 +41,7 @@
         'instance',
         'journal',
         'pipeline',
+        'startup_hold',
         'state',
     )
 
@@ -50,6 +52,7 @@
         self.clock = clock
         self.instance = instance
         self.journal = journal
+        self.startup_hold = StartupHold(clock.now())
         self.state = AdmissionState()
         self.pipeline = assemble_admission(self.state)
         self.configuration = Configuration(version=0)
@@ -61,16 +64,21 @@
         self.state.team_request_meter = RateMeter(clock.now())
 
     def receive(self, envelopes: Iterable[Envelope]) -> None:
-        """Apply updates before checking the requests of the same batch."""
-        request_envelopes: list[Envelope] = []
+        """Apply updates before checking the requests of the same batch.
+
+        Requests wait for the first configuration, for a short time.
+        """
+        arrived: list[Envelope] = []
         for envelope in envelopes:
             if isinstance(envelope.message, IncomingRequest):
-                request_envelopes.append(envelope)
+                arrived.append(envelope)
             else:
                 envelope.set_reply(self.handle_message(envelope.message))
-        requests = [envelope.message for envelope in request_envelopes]
-        contexts = self.pipeline.run(requests)
-        for envelope, context in zip(request_envelopes, contexts, strict=True):
+        due = self.startup_hold.take_due(
+            arrived, is_ready=self.state.version > 0, at=self.clock.now()
+        )
+        contexts = self.pipeline.run([each.message for each in due])
+        for envelope, context in zip(due, contexts, strict=True):
             envelope.set_reply(context)
 
     def handle_message(self, message: Message) -> Message | None:
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -39,6 +39,7 @@
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.mailbox import Envelope
+from currantspur.tasks.startup_hold import StartupHold
 from currantspur.tasks.task import Task
 
 # A service without targets takes longer to get targets again, usually seconds.
@@ -69,6 +70,7 @@
         'placement_state',
         'report_collector',
         'retry_budgets',
+        'startup_hold',
         'target_retention',
         'target_states',
         'targets_revision',
@@ -87,6 +89,7 @@
         self.clock = clock
         self.limits = limits
         self.journal = journal
+        self.startup_hold = StartupHold(clock.now())
         self.placement_state = PlacementState(
             topology, shift_cap=limits.shift_cap, instance_name=instance
         )
@@ -106,18 +109,26 @@
         }
 
     def receive(self, envelopes: Iterable[Envelope]) -> None:
-        """Apply updates before choosing targets for the same batch."""
-        placement_requests: list[tuple[Envelope, PlacementRequest]] = []
+        """Apply updates before choosing targets for the same batch.
+
+        Requests wait for the first targets, for a short time.
+        """
+        arrived: list[Envelope] = []
         for envelope in envelopes:
             message = envelope.message
             if isinstance(message, PlacementRequest):
-                placement_requests.append((envelope, message))
+                arrived.append(envelope)
             elif isinstance(message, Tick):
                 envelope.set_reply(self._measure_load())
             else:
                 self.handle_message(message)
-        for envelope, request in placement_requests:
-            self._reply(envelope, request)
+        now = self.clock.now()
+        for due in self.startup_hold.take_due(
+            arrived, is_ready=bool(self.target_states), at=now
+        ):
+            request = due.message
+            if isinstance(request, PlacementRequest):
+                due.set_reply(self._assign(request, now))
 
     def handle_message(self, message: Message) -> None:
         """Apply an update or a release; ignore other types of messages."""
@@ -141,12 +152,6 @@
             if state is not None:
                 apply_report(state, report, now)
 
-    def _reply(self, envelope: Envelope, request: PlacementRequest) -> None:
-        if envelope.reply_future is None or envelope.reply_future.done():
-            return
-        now = self.clock.now()
-        envelope.set_reply(self._assign(request, now))
-
     def _assign(
         self, request: PlacementRequest, now: float
     ) -> Assignment | Refusal:
--- a/src/currantspur/tasks/mailbox.py
+++ b/src/currantspur/tasks/mailbox.py
@@ -24,6 +24,11 @@
         self.message = message
         self.reply_future = reply_future
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether the sender waits for a reply; False once it has left."""
+        return self.reply_future is not None and not self.reply_future.done()
+
     def set_reply(self, reply: Any) -> None:
         """Set the reply unless the sender no longer waits for it."""
         if self.reply_future is not None and not self.reply_future.done():
--- a/src/currantspur/tasks/registrar.py
+++ b/src/currantspur/tasks/registrar.py
@@ -72,12 +72,23 @@
         return KEY_SEPARATOR.join((own.region, own.availability_zone, own.name))
 
     async def run(self) -> None:
-        """Register and read the list of the region, then return."""
-        await self._retry_until_done(self._register)
-        if self.is_first_start:
-            await self.clock.sleep(FIRST_START_DELAY_S)
-        await self._retry_until_done(self._read_region)
-        self.has_list.set()
+        """Register and read the list of the region, then return.
+
+        The list holds the rest of the region except at its first start, so that
+        it is read without waiting for the row of this instance.
+        """
+        registration = asyncio.create_task(
+            self._retry_until_done(self._register)
+        )
+        try:
+            if self.is_first_start:
+                await registration
+                await self.clock.sleep(FIRST_START_DELAY_S)
+            await self._retry_until_done(self._read_region)
+            self.has_list.set()
+            await registration
+        finally:
+            registration.cancel()
 
     async def wait_for_list(self) -> None:
         """Return when the list was read, at most MAX_LIST_WAIT_S later."""
--- /dev/null
+++ b/src/currantspur/tasks/startup_hold.py
@@ -0,0 +1,37 @@
+"""Hold requests for a moment while a new process reads its first state."""
+
+from collections.abc import Iterable
+
+from currantspur.tasks.mailbox import Envelope
+
+# A process that has just started reads its first tables within a few round
+# trips. Requests that arrive before wait for them at most this long, and until
+# the next Tick.
+STARTUP_HOLD_S = 0.7
+# More requests than this are refused while the first ones wait.
+MAX_HELD_REQUESTS = 256
+
+
+class StartupHold:
+    """The requests that wait for the first state of a task."""
+
+    __slots__ = ('envelopes', 'until')
+
+    def __init__(self, started_at: float) -> None:
+        self.envelopes: list[Envelope] = []
+        self.until = started_at + STARTUP_HOLD_S
+
+    def take_due(
+        self, arrived: Iterable[Envelope], *, is_ready: bool, at: float
+    ) -> list[Envelope]:
+        """Return the requests to answer now, in order of arrival.
+
+        Callers of held requests that left meanwhile are left out.
+        """
+        waiting = [
+            each for each in (*self.envelopes, *arrived) if each.is_awaited
+        ]
+        is_over = is_ready or at >= self.until
+        held_count = 0 if is_over else MAX_HELD_REQUESTS
+        self.envelopes = waiting[:held_count]
+        return waiting[held_count:]
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -19,6 +19,7 @@
 from currantspur.messages.limits import FleetLimits
 from currantspur.tasks import Dispatcher, Journal
 from currantspur.tasks.mailbox import Envelope
+from currantspur.tasks.startup_hold import STARTUP_HOLD_S
 from tests.routes import make_route
 from tests.test_admission import NullSink
 from tests.virtual import VirtualClock
@@ -116,6 +117,7 @@
 )
 async def test_refusal_without_target_has_retry_after(zones, options, code):
     dispatcher = make_dispatcher(*zones)
+    dispatcher.clock.at += STARTUP_HOLD_S
     reply = await ask(dispatcher, **options)
     assert isinstance(reply, Refusal) is bool(code)
     if code:
