Give the first processes that are up again their part of the teams' rates

Cause: after a loss of power the instances with most cores are up first and carry all callers. They were not ready yet, so that the subset left them out, and each took a tenth of an equal part; their measured demand began at half of its value. Change: listed instances and this one divide limits before they are ready; the first measurement of a rate counts whole; a new bucket holds one second of its share, as long as the process was away. Ruled out: a whole burst, which repeated kills would add up; the test of the quota through restarts holds with one second.

--- a/src/currantspur/decisions/membership_table.py
+++ b/src/currantspur/decisions/membership_table.py
@@ -157,19 +157,23 @@
             digest.counted_instances for digest in digests
         )
         fleet_size = self._estimate_fleet_size(known_count, at)
-        callers_use = tuple(choose_subset(live, sum_by_zone(counted, digests)))
+        demand_by_zone = sum_by_zone(counted, digests)
+        # This instance and, just after the start, the listed ones divide the
+        # limits before callers use them.
+        reachable = self._list_reachable(live, at)
+        senders = tuple(choose_subset(reachable, demand_by_zone))
         sender_count = count_senders(
-            live=live, subset=callers_use, fleet_size=fleet_size
+            known=reachable, subset=senders, fleet_size=fleet_size
         )
         return FleetView(
             live_instances=live,
-            caller_instances=callers_use,
-            reachable_instances=self._list_reachable(live, at),
+            caller_instances=tuple(choose_subset(live, demand_by_zone)),
+            reachable_instances=reachable,
             fleet_size=fleet_size,
             sender_count=sender_count,
             limit_divisor=divide_limits(
                 self.own_heartbeat.instance.name,
-                callers_use,
+                senders,
                 sender_count=sender_count,
                 fleet_size=fleet_size,
             ),
--- a/src/currantspur/decisions/rate_meter.py
+++ b/src/currantspur/decisions/rate_meter.py
@@ -25,6 +25,8 @@
     def update_rates(self, at: float) -> Mapping[str, float]:
         """End the current measurement and return the smoothed rates per second.
 
+        The first measurement of a name is its rate, so that a new process knows
+        its load at once.
         A name that was not counted again keeps a rate that decays to 0; names
         are never removed.
         """
@@ -32,7 +34,7 @@
         self.measured_at = at
         for name in set(self.rates) | set(self.amounts):
             measured = self.amounts.get(name, 0.0) / elapsed_s
-            previous = self.rates.get(name, 0.0)
+            previous = self.rates.get(name, measured)
             self.rates[name] = previous + SMOOTHING_FACTOR * (
                 measured - previous
             )
--- a/src/currantspur/decisions/rate_share.py
+++ b/src/currantspur/decisions/rate_share.py
@@ -3,9 +3,9 @@
 from currantspur.decisions.token_bucket import TokenBucket
 
 # The bucket of a new process starts with the tokens that its rate yields in
-# this time, but at least one: an empty one would refuse callers at once, a full
-# one would allow a burst at each restart.
-INITIAL_FILL_S = 0.5
+# this time, but at least one: an empty one would refuse callers at once. A
+# process that restarts was away for as long.
+INITIAL_FILL_S = 1.0
 # With a smaller burst, two requests that arrive together could not both pass.
 MIN_BURST = 2.0
 
--- a/src/currantspur/decisions/subsetting.py
+++ b/src/currantspur/decisions/subsetting.py
@@ -42,7 +42,7 @@
 
 def count_senders(
     *,
-    live: Iterable[Instance],
+    known: Iterable[Instance],
     subset: Iterable[Instance],
     fleet_size: int,
 ) -> int:
@@ -51,9 +51,9 @@
     While only a part of the fleet is known, instances of the rest are assumed
     to be chosen in proportion.
     """
-    live_count = len({instance.name for instance in live})
+    known_count = len({instance.name for instance in known})
     chosen = len({instance.name for instance in subset})
-    return max(chosen, round(fleet_size * chosen / max(1, live_count)))
+    return max(chosen, round(fleet_size * chosen / max(1, known_count)))
 
 
 def divide_limits(
--- a/tests/test_fleet_restart.py
+++ b/tests/test_fleet_restart.py
@@ -6,7 +6,10 @@
 
 import pytest
 
-from currantspur.messages import Instance, Tick
+from currantspur.decisions.membership_table import MembershipTable
+from currantspur.decisions.rate_share import RateShare
+from currantspur.decisions.subsetting import SUBSET_PART
+from currantspur.messages import Heartbeat, Instance, Tick
 from currantspur.messages.table_rows import RowsResponse
 from currantspur.tasks import AdmissionTask, Journal
 from currantspur.tasks.mailbox import Envelope
@@ -135,3 +138,88 @@
     await run
     assert store.is_written
     assert registrar.has_list.is_set()
+
+
+RATE_PER_S, BURST = 100.0, 100.0
+QUOTA_WINDOW_S, QUOTA_OVERSHOOT, QUOTA_SLACK = 5.0, 0.1, 20.0
+STEP_S = 0.05
+# From the end of a process to the first request of the next one.
+RESTART_S = 1.0
+
+
+class LimitedInstance:
+    """The rate share of a process that is busy whenever it runs."""
+
+    def __init__(self, divisor, at):
+        self.started_at = at
+        self.rate_share = RateShare(
+            team_rate_per_s=RATE_PER_S,
+            team_burst=BURST,
+            share_per_s=RATE_PER_S / divisor,
+            at=at,
+        )
+
+    def admit_all(self, at):
+        if at < self.started_at:
+            return 0
+        admitted = 0
+        while self.rate_share.consume_or_wait_s(at) is None:
+            admitted += 1
+        return admitted
+
+
+@pytest.mark.parametrize('killed_at_s', [(3.0,), (3.0, 5.0), (2.0, 4.0, 6.0)])
+@pytest.mark.parametrize('fleet_size', [4, 24, 36])
+def test_team_stays_within_quota_through_restarts(killed_at_s, fleet_size):
+    divisor = fleet_size / SUBSET_PART
+    fleet = [LimitedInstance(divisor, 0.0) for _ in range(fleet_size)]
+    pending, admitted = list(killed_at_s), []
+    for step in range(200):
+        at = step * STEP_S
+        if pending and at >= pending[0]:
+            back_at = pending.pop(0) + RESTART_S
+            fleet = [LimitedInstance(divisor, back_at) for _ in fleet]
+        admitted.append(sum(each.admit_all(at) for each in fleet))
+    window = round(QUOTA_WINDOW_S / STEP_S)
+    most = max(
+        sum(admitted[start : start + window])
+        for start in range(len(admitted) - window)
+    )
+    allowed = RATE_PER_S * QUOTA_WINDOW_S + BURST
+    assert most <= allowed * (1 + QUOTA_OVERSHOOT) + QUOTA_SLACK
+
+
+def make_listed_table(number):
+    """Return the table of an instance that has read the list only."""
+    listed = tuple(
+        Instance(
+            name=f'{zone}-{each}',
+            availability_zone=zone,
+            region=zone[0],
+            address='',
+            peer='',
+            link_mbps=200.0 if each < 2 else 10.0,
+        )
+        for zone in ('n1', 'n2', 's1', 's2', 'w1', 'w2')
+        for each in range(12)
+    )
+    table = MembershipTable(
+        Heartbeat(
+            instance=listed[number],
+            incarnation=1,
+            sequence_number=0,
+            is_ready=False,
+        ),
+        started_at=0.0,
+    )
+    table.listed_instances = listed
+    return table
+
+
+def test_first_instances_up_divide_limits():
+    # The wide ones start first and carry all callers for a while.
+    view = make_listed_table(0).build_view(0.1)
+    assert view.sender_count == 24
+    assert view.limit_divisor == pytest.approx(24 / SUBSET_PART)
+    narrow = make_listed_table(11).build_view(0.1)
+    assert narrow.fleet_size == 72
