Take malformed rows of the store for an absent store

Cause: a row without key or with a value that is no Base64 raised KeyError or ValueError, which the follower of the table does not catch, so that the instance ended. Change: such a response raises StoreAwayError, as other malformed responses do.

--- a/src/currantspur/platform/store.py
+++ b/src/currantspur/platform/store.py
@@ -8,7 +8,11 @@
 import aiohttp
 import orjson
 
-from currantspur.errors import HistoryLostError, StoreAwayError
+from currantspur.errors import (
+    MALFORMED_INPUT_ERRORS,
+    HistoryLostError,
+    StoreAwayError,
+)
 from currantspur.messages.table_rows import RowsResponse
 from currantspur.tasks.ports import Store
 from currantspur.wire.bodies import (
@@ -80,7 +84,7 @@
             timeout_s=wait_s + LONG_POLL_MARGIN_S,
         )
         return RowsResponse(
-            rows_by_key=dict(_decode_rows(document)),
+            rows_by_key=dict(decode_rows(document)),
             revision=document['ver'],
             newest_row_revision=_get_newest_revision(document),
         )
@@ -127,7 +131,7 @@
                 query={**query, 'from': from_key},
                 timeout_s=CALL_TIMEOUT_S,
             )
-            rows = list(_decode_rows(page))
+            rows = decode_rows(page)
             rows_by_key.update(rows)
             newest_row_revision = max(
                 newest_row_revision, _get_newest_revision(page)
@@ -193,7 +197,20 @@
     return document
 
 
-def _decode_rows(
+def decode_rows(
+    document: Mapping[str, Any],
+) -> list[tuple[str, bytes | None]]:
+    """Return the rows of a response; raise StoreAwayError for malformed ones.
+
+    Deleted rows are None.
+    """
+    try:
+        return list(_iterate_rows(document))
+    except MALFORMED_INPUT_ERRORS as error:
+        raise StoreAwayError('malformed rows') from error
+
+
+def _iterate_rows(
     document: Mapping[str, Any],
 ) -> Iterator[tuple[str, bytes | None]]:
     for row in document.get('rows', ()):
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -6,6 +6,7 @@
 from currantspur.errors import HistoryLostError, StoreAwayError
 from currantspur.platform import PlatformStore
 from currantspur.platform import store as store_module
+from currantspur.platform.store import decode_rows
 from currantspur.standins import StoreStandin
 from currantspur.standins.fleet import find_free_address
 from currantspur.wire.metrics import Metrics
@@ -83,3 +84,20 @@
         with pytest.raises(StoreAwayError):
             await store.write('t', {'a': b'1'})
         assert (('t', 'a') in standin.rows) is (failure_mode == 'lost')
+
+
+@pytest.mark.parametrize(
+    'rows',
+    [
+        None,
+        [None],
+        ['x'],
+        [{}],
+        [{'value': 'MQ=='}],
+        [{'key': 'a', 'value': 'not base64'}],
+        [{'key': 'a', 'value': 7}],
+    ],
+)
+def test_malformed_rows_raise_store_away(rows):
+    with pytest.raises(StoreAwayError):
+        list(decode_rows({'rows': rows, 'ver': 1}))
