--- a/src/currantspur/decisions/store_outage.py
+++ b/src/currantspur/decisions/store_outage.py
@@ -1,6 +1,7 @@
 """Tell an outage of the store from one of a source of its tables."""
 
-NEVER = float('-inf')
+from currantspur.messages.table_updates import NEVER
+
 # A target writes its row every 1.5 s, and the row expires after three of these
 # intervals: a shorter outage of the store removes none.
 MIN_OUTAGE_S = 3.0
--- a/src/currantspur/messages/__init__.py
+++ b/src/currantspur/messages/__init__.py
@@ -10,8 +10,6 @@
     WeightedService,
 )
 from currantspur.messages.fleet_state import (
-    ConfigurationUpdate,
-    EvacuationsUpdate,
     FleetView,
     Heartbeat,
     Instance,
@@ -19,8 +17,6 @@
     ServiceLoad,
     ShutdownStarted,
     SpillPlan,
-    TableSnapshot,
-    TargetsUpdate,
     TeamDemand,
     Tick,
     ZoneDigest,
@@ -40,6 +36,12 @@
     ResponseHead,
     TargetRelease,
 )
+from currantspur.messages.table_updates import (
+    ConfigurationUpdate,
+    EvacuationsUpdate,
+    TableSnapshot,
+    TargetsUpdate,
+)
 from currantspur.messages.targets import (
     PeerReports,
     Target,
--- a/tests/test_store_outage.py
+++ b/tests/test_store_outage.py
@@ -4,9 +4,9 @@
 
 from currantspur.decisions.store_outage import (
     MIN_OUTAGE_S,
-    NEVER,
     StoreOutage,
 )
+from currantspur.messages.table_updates import NEVER
 
 SHORT_S, LONG_S = MIN_OUTAGE_S - 0.1, MIN_OUTAGE_S
 
