--- a/src/currantspur/tasks/membership.py
+++ b/src/currantspur/tasks/membership.py
@@ -65,6 +65,7 @@
         'handlers',
         'heartbeat_port',
         'is_ready',
+        'is_used',
         'journal',
         'live_names',
         'membership_table',
@@ -116,6 +117,8 @@
         # The digest as last sent to other regions.
         self.cross_region_digest: ZoneDigest | None = None
         self.live_names: frozenset[str] = frozenset()
+        # Whether look-ups return this instance.
+        self.is_used = False
         self.membership_table = MembershipTable(
             Heartbeat(instance=own, incarnation=incarnation, sequence_number=0),
             started_at=clock.now(),
@@ -212,6 +215,7 @@
         self.membership_table.own_heartbeat.is_ready = self.is_ready()
         view = self.membership_table.build_view(self.clock.now())
         self._log_member_changes(view)
+        self._log_own_use(view)
         self.on_view(view)
         for subscriber in self.subscribers:
             subscriber.post(view)
@@ -228,6 +232,19 @@
         )
         self.live_names = names
 
+    def _log_own_use(self, view: FleetView) -> None:
+        own = self.membership_table.own_heartbeat.instance
+        is_used = own.name in {each.name for each in view.caller_instances}
+        if is_used == self.is_used:
+            return
+        self.is_used = is_used
+        self.journal.note(
+            'subset',
+            is_used=is_used,
+            senders=view.sender_count,
+            limit_divisor=round(view.limit_divisor, 1),
+        )
+
     def _send_heartbeat(self) -> None:
         if self.heartbeat_port is None:
             return
@@ -238,7 +255,7 @@
         # All regions learn at once of an instance that starts or leaves.
         to_all_regions = (
             own.is_leaving
-            or self._is_cross_region_due()
+            or is_cross_region_due(self.sequence_number)
             or has_demand_changed(
                 self.cross_region_demand, own.requests_per_s_by_team
             )
@@ -264,9 +281,9 @@
         digest = build_digest(
             self.membership_table, now, sequence_number=self.digest_number
         )
-        to_all_regions = self._is_cross_region_due() or has_zone_changed(
-            self.cross_region_digest, digest
-        )
+        to_all_regions = is_cross_region_due(
+            self.sequence_number
+        ) or has_zone_changed(self.cross_region_digest, digest)
         recipients = [
             peer.peer
             for peer in list_digest_recipients(
@@ -278,8 +295,10 @@
         if recipients:
             self.heartbeat_port.send(digest, recipients)
 
-    def _is_cross_region_due(self) -> bool:
-        return self.sequence_number % CROSS_REGION_HEARTBEAT_EVERY == 1
+
+def is_cross_region_due(sequence_number: int) -> bool:
+    """Tell whether a regular heartbeat goes to other regions too."""
+    return sequence_number % CROSS_REGION_HEARTBEAT_EVERY == 1
 
 
 def has_zone_changed(before: ZoneDigest | None, after: ZoneDigest) -> bool:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from currantspur.messages import Instance, ShutdownStarted, TeamDemand
+from currantspur.messages import Instance, ShutdownStarted, TeamDemand, Tick
 from currantspur.tasks import Journal, Mailbox, Membership
 from currantspur.tasks.membership import CROSS_REGION_HEARTBEAT_EVERY
 from tests.test_admission import NullSink
@@ -46,6 +46,31 @@
     return membership
 
 
+class Lines(NullSink):
+    """Keep the fields of log lines of one kind."""
+
+    def __init__(self, kind):
+        self.kind = kind
+        self.lines = []
+
+    def write(self, kind, fields):
+        if kind == self.kind:
+            self.lines.append(fields)
+
+
+@pytest.mark.parametrize(
+    ('is_ready', 'is_used'), [((False,), []), ((True, True), [True])]
+)
+def test_use_by_callers_is_logged_when_it_changes(is_ready, is_used):
+    membership = make_membership([])
+    sink = Lines('subset')
+    membership.journal = Journal(sink=sink, clock=membership.clock)
+    for ready in is_ready:
+        membership.is_ready = lambda ready=ready: ready
+        membership.handle_message(Tick())
+    assert [line['is_used'] for line in sink.lines] == is_used
+
+
 HEARTBEAT_COUNTS = [(1, 1), (3, 1), (4, 2), (30, 10)]
 
 
