Sum the demand of zones in one loop

Cause: two loops of sum_by_zone were alike. Change: heartbeats and digests are chained. Measured: no behaviour changed; the tests of membership pass.

--- a/src/currantspur/decisions/membership_table.py
+++ b/src/currantspur/decisions/membership_table.py
@@ -1,6 +1,7 @@
 """Track which instances are alive by the heartbeats that they send."""
 
 from collections.abc import Iterable, Iterator, Mapping
+from itertools import chain
 
 from currantspur.decisions.sequence_order import SequenceOrder
 from currantspur.decisions.subsetting import (
@@ -307,15 +308,19 @@
     heartbeats: Iterable[Heartbeat], digests: Iterable[ZoneDigest]
 ) -> dict[str, float]:
     """Return the requests per second received in each availability zone."""
+    demands = chain(
+        (
+            (each.instance.availability_zone, each.requests_per_s_by_team)
+            for each in heartbeats
+        ),
+        (
+            (each.availability_zone, each.requests_per_s_by_team)
+            for each in digests
+        ),
+    )
     totals: dict[str, float] = {}
-    for heartbeat in heartbeats:
-        zone = heartbeat.instance.availability_zone
-        received = sum(heartbeat.requests_per_s_by_team.values())
-        totals[zone] = totals.get(zone, 0.0) + received
-    for digest in digests:
-        zone = digest.availability_zone
-        received = sum(digest.requests_per_s_by_team.values())
-        totals[zone] = totals.get(zone, 0.0) + received
+    for zone, by_team in demands:
+        totals[zone] = totals.get(zone, 0.0) + sum(by_team.values())
     return totals
 
 
