Decode only changed rows of targets; find services with warm objects once

Change: services with warm objects are collected once per list; a row that did not change keeps its target. Ruled out: the choice of the subset, 0.5 of 0.6 ms of a view of 306 instances. Measured (profile of the dispatcher, 3,003 targets): first list 421 to 10.8 ms; 1,080 targets 57 to 4.3 ms.

--- a/src/currantspur/platform/rows.py
+++ b/src/currantspur/platform/rows.py
@@ -56,12 +56,21 @@
             )
 
 
+# A row as it was read, and what it says.
+DecodedRow = tuple[bytes, Target]
+
+
 class TargetRowDecoder(Filter[TableSnapshot, Message]):
-    """Decode the rows that targets write about themselves."""
+    """Decode the rows that targets write about themselves.
+
+    A row that did not change is not decoded again.
+    """
 
-    __slots__ = ('reported_keys',)
+    __slots__ = ('decoded', 'reported_keys')
 
     def __init__(self) -> None:
+        # Rows of the latest snapshot, with what they say.
+        self.decoded: dict[str, DecodedRow] = {}
         # Keys of malformed rows already logged, to log each of them only once.
         self.reported_keys: set[str] = set()
 
@@ -69,7 +78,7 @@
         """Yield all targets of each snapshot; malformed rows are left out."""
         for snapshot in stream:
             yield TargetsUpdate(
-                targets_by_name=dict(self._read_targets(snapshot.rows_by_key)),
+                targets_by_name=self._read_targets(snapshot.rows_by_key),
                 revision=snapshot.revision,
                 read_at=snapshot.read_at,
                 outage_ended_at=snapshot.outage_ended_at,
@@ -77,14 +86,25 @@
 
     def _read_targets(
         self, rows_by_key: Mapping[str, bytes]
-    ) -> Iterator[tuple[str, Target]]:
+    ) -> dict[str, Target]:
+        before = self.decoded
+        self.decoded = {}
         for key, encoded in rows_by_key.items():
-            try:
-                yield key, decode_target(key, encoded)
-            except MalformedRowError as error:
-                if key not in self.reported_keys:
-                    self.reported_keys.add(key)
-                    logger.warning('ignored a malformed target row: {}', error)
+            known = before.get(key)
+            if known is None or known[0] != encoded:
+                known = self._decode(key, encoded)
+            if known is not None:
+                self.decoded[key] = known
+        return {key: target for key, (_row, target) in self.decoded.items()}
+
+    def _decode(self, key: str, encoded: bytes) -> DecodedRow | None:
+        try:
+            return encoded, decode_target(key, encoded)
+        except MalformedRowError as error:
+            if key not in self.reported_keys:
+                self.reported_keys.add(key)
+                logger.warning('ignored a malformed target row: {}', error)
+        return None
 
 
 def decode_target(key: str, encoded: bytes) -> Target:
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -273,8 +273,17 @@
         removed_names = set(self.target_states) - set(current_targets)
         for name in removed_names:
             self.target_states.pop(name)
+        # A service whose requests name no object has no warm keys: none of its
+        # targets counts as joined.
+        warm_services = {
+            state.target.service
+            for state in self.target_states.values()
+            if state.warm_keys
+        }
         is_new = [
-            self._add_or_update_target(target, now)
+            self._add_or_update_target(
+                target, now, has_joined=target.service in warm_services
+            )
             for target in current_targets.values()
         ]
         by_service: dict[str, list[TargetState]] = {}
@@ -292,18 +301,14 @@
                 lapsed=len(self.target_retention.retained),
             )
 
-    def _add_or_update_target(self, target: Target, now: float) -> bool:
+    def _add_or_update_target(
+        self, target: Target, now: float, *, has_joined: bool
+    ) -> bool:
         """Return True if the target was not known before."""
         state = self.target_states.get(target.name)
         if state is not None:
             state.update_target(target, now)
             return False
-        # A service whose requests name no object has no warm keys: none of its
-        # targets counts as joined.
-        has_joined = any(
-            other.target.service == target.service and other.warm_keys
-            for other in self.target_states.values()
-        )
         self.target_states[target.name] = TargetState(
             target, now, has_joined=has_joined
         )
--- a/tests/test_rows.py
+++ b/tests/test_rows.py
@@ -76,6 +76,36 @@
     assert list(update.targets_by_name) == ['a']
 
 
+DRAINING_ROW = {**TARGET_ROW, 'state': 'draining'}
+
+
+@pytest.mark.parametrize(
+    ('later', 'names', 'is_same'),
+    [
+        (orjson.dumps(TARGET_ROW), ['a'], True),
+        (orjson.dumps(DRAINING_ROW), ['a'], False),
+        (b'{', [], False),
+        (None, [], False),
+    ],
+)
+def test_only_changed_target_rows_are_decoded(later, names, is_same):
+    decoder = TargetRowDecoder()
+    snapshots = [
+        TableSnapshot(
+            table='servers',
+            rows_by_key={'a': row} if row else {},
+            revision=revision,
+            read_at=1.0,
+        )
+        for revision, row in enumerate((orjson.dumps(TARGET_ROW), later))
+    ]
+    before, after = (
+        update.targets_by_name for update in decoder.run(snapshots)
+    )
+    assert list(after) == names
+    assert (after.get('a') is before['a']) is is_same
+
+
 def test_configuration_row_is_decoded():
     document = describe_configuration(4)
     configuration = decode_configuration(orjson.dumps(document))
