--- a/src/currantspur/decisions/shortlist.py
+++ b/src/currantspur/decisions/shortlist.py
@@ -76,12 +76,17 @@
         due = [state for state in targets.joined if state.needs_warmup(at)]
         return (*shortlist, *due) if due else shortlist
 
-    def sends_warmups(self, state: TargetState, sender_count: int) -> bool:
-        """Tell whether this instance is one that warms up a joined target."""
+    def sends_warmups(
+        self, state: TargetState, region_instance_count: int
+    ) -> bool:
+        """Tell whether this instance is one that warms up a joined target.
+
+        Only instances of the target's own region do.
+        """
         if not state.has_joined:
             return False
         weight = rendezvous_weight(self.instance_name, state.target.name)
-        return weight / WEIGHT_LIMIT * sender_count < WARMUP_INSTANCES
+        return weight / WEIGHT_LIMIT * region_instance_count < WARMUP_INSTANCES
 
     def _find_shortlist(
         self, targets: ServiceTargets, object_key: str
--- a/src/currantspur/pipelines/placement.py
+++ b/src/currantspur/pipelines/placement.py
@@ -45,7 +45,6 @@
         'evacuated_zones',
         'instance_name',
         'limit_divisor',
-        'sender_count',
         'shortlists',
         'spillover',
         'states_by_service',
@@ -72,9 +71,6 @@
         # Fleet-wide requests per second to each cold target, by service.
         self.cold_per_s_by_service: Mapping[str, float] = {}
         self.evacuated_zones: frozenset[str] = frozenset()
-        # Of the fleet: the instances that callers use, and the number by which
-        # this one divides limits.
-        self.sender_count = 1
         self.limit_divisor = 1.0
         # By name of the route.
         self.work_times: dict[str, WorkTimeEstimator] = {}
@@ -295,7 +291,7 @@
             rank=rank,
             at=at,
             sends_warmups=state.shortlists.sends_warmups(
-                candidate.state, state.sender_count
+                candidate.state, state.spillover.region_instance_count
             ),
         )
         yield candidate
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -315,7 +315,6 @@
         return True
 
     def _apply_fleet_view(self, view: FleetView) -> None:
-        self.placement_state.sender_count = max(1, view.sender_count)
         self.placement_state.limit_divisor = view.limit_divisor
         self._plan_spillover(view)
         self.retry_budgets.update_limit_divisor(
--- a/tests/test_shortlist.py
+++ b/tests/test_shortlist.py
@@ -43,10 +43,10 @@
     ]
 
 
-def make_state(targets, *, instance='i', sender_count=1):
+def make_state(targets, *, instance='i', instance_count=1):
     topology = Topology(availability_zone='n1', region_by_zone=REGIONS)
     state = PlacementState(topology, shift_cap=0.15, instance_name=instance)
-    state.sender_count = sender_count
+    state.spillover.set_instance_count(instance_count)
     state.set_targets({'s': targets})
     return state
 
@@ -122,25 +122,43 @@
     assert (kept is before) is is_kept
 
 
-@pytest.mark.parametrize('sender_count', [1, 8, 77, 195])
-def test_joined_targets_get_few_first_requests(sender_count):
+@pytest.mark.parametrize('instance_count', [1, 8, 77, 195])
+def test_joined_targets_get_few_first_requests(instance_count):
     joined = make_targets(41, zones=('n1',), has_joined=True)
     warmups = Counter()
-    for number in range(sender_count):
+    for number in range(instance_count):
         targets = make_targets(100, zones=('n1',))
         for target in targets:
             target.record_success(0.0, 'another')
         state = make_state(
             [*targets, *joined],
             instance=f'i{number}',
-            sender_count=sender_count,
+            instance_count=instance_count,
         )
         for target in joined:
-            if state.shortlists.sends_warmups(target, sender_count):
+            if state.shortlists.sends_warmups(target, instance_count):
                 warmups[target.target.name] += 1
     counts = [warmups[target.target.name] for target in joined]
     # Each gets some, and no more than a fleet of this size would send.
     assert min(counts) >= 1
     assert sum(counts) / len(counts) <= 1.2 * min(
-        WARMUP_INSTANCES, sender_count
+        WARMUP_INSTANCES, instance_count
     )
+
+
+@pytest.mark.parametrize('instance_count', [1, 3, 5])
+def test_any_instance_of_small_region_warms_up(instance_count):
+    for number in range(20):
+        warm, joined = (
+            *make_targets(1, zones=('n1',)),
+            *make_targets(1, zones=('n1',), has_joined=True),
+        )
+        warm.record_success(0.0, '17')
+        joined.target.name = 'joined'
+        state = make_state(
+            [warm, joined],
+            instance=f'i{number}',
+            instance_count=instance_count,
+        )
+        chosen = choose_target(make_request('17'), state, 1.0)
+        assert chosen.state.target.name == 'joined'
