Release targets also when the mailbox is full; report what may have run

Cause: a full mailbox of the dispatcher raised as the target was released or a repeat asked for: an answer that was ready got lost, and a caller whose request a target had run was told 503, not run. Change: a release is queued even at the limit, as it follows an accepted request; a repeat that is not accepted ends with the outcome of the attempt before.

--- a/src/currantspur/tasks/forwarder.py
+++ b/src/currantspur/tasks/forwarder.py
@@ -8,6 +8,7 @@
 from currantspur.errors import (
     BodyCutError,
     BodyTooLargeError,
+    MailboxFullError,
     TargetError,
     TargetFailedError,
 )
@@ -34,6 +35,8 @@
 
 ResponsePart = ResponseHead | ResponseChunk | Refusal
 NO_TRACER: Final = NoTracer()
+# Callers of an instance with a full mailbox return once it has worked it off.
+FULL_RETRY_AFTER_S = 1.0
 
 
 class RequestForwarder:
@@ -134,9 +137,17 @@
         self, state: ForwardingState
     ) -> Assignment | Refusal:
         reply_future = asyncio.get_running_loop().create_future()
-        self.dispatcher.put(
-            Envelope(state.make_placement_request(), reply_future)
-        )
+        try:
+            self.dispatcher.put(
+                Envelope(state.make_placement_request(), reply_future)
+            )
+        except MailboxFullError:
+            # After a failed attempt its outcome is reported instead.
+            return Refusal(
+                code='no_room',
+                detail='the instance is full',
+                retry_after_s=FULL_RETRY_AFTER_S,
+            )
         try:
             reply: Assignment | Refusal = await reply_future
         except asyncio.CancelledError:
@@ -196,7 +207,7 @@
         if span is not None:
             name = assignment.target.name
             self.tracer.end(span, target=name, outcome=result.outcome)
-        self.dispatcher.post(
+        self.dispatcher.post_always(
             TargetRelease(
                 assignment=assignment, outcome=result.outcome, load=result.load
             )
--- a/src/currantspur/tasks/mailbox.py
+++ b/src/currantspur/tasks/mailbox.py
@@ -56,6 +56,14 @@
         """Queue a message without a reply; raise MailboxFullError if full."""
         self.put(Envelope(message))
 
+    def post_always(self, message: Message) -> None:
+        """Queue a message even at the limit.
+
+        For a message that follows one that was accepted, so that there are no
+        more of them.
+        """
+        self._append(Envelope(message))
+
     async def ask(self, message: Message) -> Any:
         """Queue a message and return its reply.
 
@@ -70,8 +78,7 @@
         """Queue an envelope; raise MailboxFullError at the limit."""
         if len(self.envelopes) >= self.limit:
             raise MailboxFullError(type(envelope.message).__name__)
-        self.envelopes.append(envelope)
-        self.not_empty.set()
+        self._append(envelope)
 
     async def get_all(self) -> list[Envelope]:
         """Wait until envelopes are queued; remove and return all of them."""
@@ -84,3 +91,7 @@
         envelopes = list(self.envelopes)
         self.envelopes.clear()
         return envelopes
+
+    def _append(self, envelope: Envelope) -> None:
+        self.envelopes.append(envelope)
+        self.not_empty.set()
--- a/src/currantspur/wire/request_handler.py
+++ b/src/currantspur/wire/request_handler.py
@@ -23,7 +23,11 @@
     ResponseHead,
 )
 from currantspur.tasks.clock import Clock
-from currantspur.tasks.forwarder import RequestForwarder, ResponsePart
+from currantspur.tasks.forwarder import (
+    FULL_RETRY_AFTER_S,
+    RequestForwarder,
+    ResponsePart,
+)
 from currantspur.tasks.ports import BodySource
 from currantspur.wire.bodies import read_bounded
 from currantspur.wire.metrics import Metrics
@@ -258,7 +262,9 @@
         first = await anext(parts)
     except MailboxFullError:
         return Refusal(
-            code='no_room', detail='the instance is full', retry_after_s=1.0
+            code='no_room',
+            detail='the instance is full',
+            retry_after_s=FULL_RETRY_AFTER_S,
         )
     except TaskFailedError:
         return Refusal(
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -2,12 +2,14 @@
 
 import pytest
 
+from currantspur.errors import TargetError
 from currantspur.messages import (
     Assignment,
     IncomingRequest,
     OutgoingRequest,
     Refusal,
     RequestContext,
+    ResponseHead,
     Target,
     TargetRelease,
 )
@@ -40,18 +42,23 @@
     )
 
 
-async def start_until_placement_request(forwarder):
+async def read_whole(parts):
+    whole = [part async for part in parts]
+    return whole[0]
+
+
+async def start_until_placement_request(forwarder, read=anext, **route_options):
     """Run a request until it waits for a target.
 
     Return its task and the envelope of its placement request.
     """
-    parts = forwarder.run(
-        INCOMING_REQUEST, OUTGOING, EmptyBody(), asyncio.Event()
-    )
-    task = asyncio.ensure_future(anext(parts))
+    turn = asyncio.Event()
+    turn.set()
+    parts = forwarder.run(INCOMING_REQUEST, OUTGOING, EmptyBody(), turn)
+    task = asyncio.ensure_future(read(parts))
     admission_envelope = (await forwarder.admission.get_all())[0]
     context = RequestContext(request=INCOMING_REQUEST)
-    context.route = make_route()
+    context.route = make_route(**route_options)
     context.deadline = 9.0
     admission_envelope.set_reply(context)
     return task, (await forwarder.dispatcher.get_all())[0]
@@ -95,3 +102,35 @@
     ]
     assert len(messages) == release_count
     assert all(isinstance(message, TargetRelease) for message in messages)
+
+
+class OneAnswer:
+    """A target port whose target answers, or fails after it has run."""
+
+    def __init__(self, *, fails):
+        self.fails = fails
+
+    async def send(self, *_request, **_options):
+        if self.fails:
+            raise TargetError('reset', may_have_run=True)
+        yield ResponseHead(status=200, headers=(), load=None, body=b'done')
+
+
+@pytest.mark.parametrize('is_idempotent', [False, True])
+@pytest.mark.parametrize('fails', [False, True])
+async def test_full_mailbox_does_not_hide_a_run(is_idempotent, fails):
+    forwarder = make_forwarder()
+    forwarder.targets = OneAnswer(fails=fails)
+    task, envelope = await start_until_placement_request(
+        forwarder, read_whole, is_idempotent=is_idempotent
+    )
+    forwarder.dispatcher.limit = 0
+    envelope.set_reply(assign(envelope))
+    part = await task
+    if fails:
+        assert part.not_run is False
+    else:
+        assert part.body == b'done'
+    # The target is released all the same.
+    releases = forwarder.dispatcher.get_all_nowait()
+    assert [type(each.message) for each in releases] == [TargetRelease]
