--- a/src/currantspur/model/policies.py
+++ b/src/currantspur/model/policies.py
@@ -16,7 +16,8 @@
     Target,
     TargetLoad,
 )
-from currantspur.pipelines.placement import PlacementState, choose_target
+from currantspur.pipelines.placement import choose_target
+from currantspur.pipelines.placement_state import PlacementState
 
 # Default of the setting shift_cap (messages.limits.FleetLimits).
 SHIFT_CAP = 0.15
--- a/src/currantspur/pipelines/__init__.py
+++ b/src/currantspur/pipelines/__init__.py
@@ -2,7 +2,8 @@
 
 from currantspur.pipelines.admission import AdmissionState, assemble_admission
 from currantspur.pipelines.filter import AdmissionCheck, Filter, Pipeline
-from currantspur.pipelines.placement import PlacementState, choose_target
+from currantspur.pipelines.placement import choose_target
+from currantspur.pipelines.placement_state import PlacementState
 
 __all__ = (
     'AdmissionCheck',
--- /dev/null
+++ b/src/currantspur/pipelines/placement_state.py
@@ -0,0 +1,129 @@
+"""The state that the filters of placement read."""
+
+from collections.abc import Mapping
+
+from currantspur.decisions.cost_model import (
+    Candidate,
+    CostModel,
+)
+from currantspur.decisions.shortlist import TargetShortlists
+from currantspur.decisions.spillover import SpilloverPlanner
+from currantspur.decisions.target_state import TargetState
+from currantspur.decisions.topology import Topology
+from currantspur.decisions.work_time import WorkTimeEstimator
+from currantspur.messages import Assignment, PlacementRequest
+from currantspur.pipelines.target_filters import (
+    without_draining,
+    without_evacuated,
+)
+
+# Lower bound of measured work, as the subtracted round trip is only an estimate
+# and may exceed the duration.
+MIN_WORK_S = 0.001
+
+
+class PlacementState:
+    """The state that the placement filters read; the dispatcher owns it."""
+
+    __slots__ = (
+        'cold_per_s_by_service',
+        'cost_model',
+        'evacuated_zones',
+        'instance_name',
+        'limit_divisor',
+        'shortlists',
+        'spillover',
+        'states_by_service',
+        'topology',
+        'work_times',
+    )
+
+    def __init__(
+        self, topology: Topology, *, shift_cap: float, instance_name: str = ''
+    ) -> None:
+        """Start without targets.
+
+        The cap is the share of requests that may shift to another region from
+        one window to the next. `instance_name` names this instance.
+        """
+        self.instance_name = instance_name
+        self.topology = topology
+        self.spillover = SpilloverPlanner(
+            shift_cap=shift_cap, region=topology.region
+        )
+        self.cost_model = CostModel(topology)
+        self.shortlists = TargetShortlists(topology, instance_name)
+        self.states_by_service: Mapping[str, list[TargetState]] = {}
+        # Fleet-wide requests per second to each cold target, by service.
+        self.cold_per_s_by_service: Mapping[str, float] = {}
+        self.evacuated_zones: frozenset[str] = frozenset()
+        self.limit_divisor = 1.0
+        # By name of the route.
+        self.work_times: dict[str, WorkTimeEstimator] = {}
+
+    def set_targets(
+        self, states_by_service: Mapping[str, list[TargetState]]
+    ) -> None:
+        """Replace the targets of all services."""
+        self.states_by_service = states_by_service
+        self.shortlists.update(states_by_service)
+
+    def is_cross_region(self, candidate: Candidate) -> bool:
+        """Tell whether a candidate is in another region than this instance."""
+        zone = candidate.state.target.availability_zone
+        return self.topology.is_cross_region(zone)
+
+    def plan_spillover(self, at: float) -> None:
+        """Plan each service's share from the load and slots of all regions."""
+        for service in self.states_by_service:
+            self.spillover.plan(service, self._sum_effective_slots(service, at))
+
+    def record_request(self, request: PlacementRequest, at: float) -> None:
+        """Count a request in the load from which all regions plan."""
+        work_s = self.work_times_for(request).mean_work_s
+        busy_slots = self.spillover.record_request(request.service, work_s, at)
+        if busy_slots is not None:
+            slots = self._sum_effective_slots(request.service, at)
+            self.spillover.plan_from_own_load(
+                request.service, busy_slots, slots
+            )
+
+    def record_latency(
+        self, target_state: TargetState, assignment: Assignment, at: float
+    ) -> None:
+        """Learn the work time from a response without time in a queue."""
+        if not assignment.had_free_slot:
+            return
+        zone = assignment.target.availability_zone
+        round_trip_s = self.topology.round_trip_s(zone)
+        work_s = max(MIN_WORK_S, at - assignment.assigned_at - round_trip_s)
+        times = self.work_times_for(assignment.request)
+        # Requests of another instance may have warmed the target.
+        is_warm = assignment.is_warm or times.looks_warm(work_s)
+        expected_s = times.expected_work_s(is_warm=is_warm)
+        times.update(work_s, is_warm=is_warm)
+        target_state.record_latency_ratio(work_s / expected_s, at)
+
+    def work_times_for(self, request: PlacementRequest) -> WorkTimeEstimator:
+        """Return the estimator of the request's route, a new one if needed."""
+        estimator = self.work_times.get(request.route.name)
+        if estimator is None:
+            estimator = WorkTimeEstimator(request.route)
+            self.work_times[request.route.name] = estimator
+        return estimator
+
+    def _sum_effective_slots(
+        self, service: str, at: float
+    ) -> Mapping[str, float]:
+        """Return the slots of a service's targets by region, without cold ones.
+
+        A target that is n times slower counts as 1/n of its slots. Zones whose
+        region is not in the settings are left out.
+        """
+        slots = dict.fromkeys(self.topology.region_by_zone.values(), 0.0)
+        usable = without_draining(self.states_by_service.get(service, ()))
+        for each in without_evacuated(usable, self.evacuated_zones):
+            region = self.topology.find_region(each.target.availability_zone)
+            if region in slots and not each.is_cold(at):
+                slots[region] += each.target.slots / each.latency_ratio(at)
+        return slots
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -31,11 +31,11 @@
 )
 from currantspur.messages.limits import FleetLimits
 from currantspur.pipelines.placement import (
-    PlacementState,
     choose_target,
     cold_bucket,
     expect_room_s,
 )
+from currantspur.pipelines.placement_state import PlacementState
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.mailbox import Envelope
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,11 +6,8 @@
 from currantspur.decisions.target_state import TargetState
 from currantspur.decisions.topology import Topology
 from currantspur.messages import PlacementRequest, Target, TargetLoad
-from currantspur.pipelines.placement import (
-    PlacementState,
-    choose_target,
-    list_eligible,
-)
+from currantspur.pipelines.placement import choose_target, list_eligible
+from currantspur.pipelines.placement_state import PlacementState
 from tests.routes import make_route
 
 SIX_ZONES = ('n1', 'n1', 'n1', 'n1', 'n1', 'n1')
