--- a/review/standins.py
+++ b/review/standins.py
@@ -133,6 +133,17 @@
         self.changed = asyncio.Event()
         return self.ver
 
+    def copy(self):
+        """Return a copy of the store, to come back from later."""
+        return dict(self.rows), list(self.changes), self.ver
+
+    async def come_back(self, copy):
+        """Serve again at the same address, from a copy: a new era begins."""
+        rows, changes, self.ver = copy
+        self.rows, self.changes = dict(rows), list(changes)
+        self.era += 1
+        await self.start(int(self.address.rpartition(':')[2]))
+
     async def respond(self, reader, writer):
         first, headers = await read_head(reader)
         body = await read_body(reader, headers)
@@ -203,6 +214,59 @@
         return {**row, 'value': base64.b64encode(known[0]).decode(), 'ver': known[1]}
 
 
+class StoreLink:
+    """The link of one instance to the store, which can be cut."""
+
+    def __init__(self, store_address):
+        self.store_address = store_address
+        self.is_cut = False
+        self.calls = 0
+        self.writers = set()
+        self.server = None
+        self.address = ''
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self.address = f'127.0.0.1:{self.server.sockets[0].getsockname()[1]}'
+
+    def cut(self):
+        """Reset all connections, and each new one, until it heals."""
+        self.is_cut = True
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+
+    def heal(self):
+        self.is_cut = False
+
+    def stop(self):
+        self.server.close()
+        self.cut()
+
+    async def _serve(self, reader, writer):
+        if self.is_cut:
+            writer.transport.abort()
+            return
+        ip, port = self.store_address.split(':')
+        store_reader, store_writer = await asyncio.open_connection(ip, int(port))
+        self.writers |= {writer, store_writer}
+        await asyncio.gather(
+            self._pass_on(reader, store_writer, is_call=True),
+            self._pass_on(store_reader, writer, is_call=False),
+        )
+        self.writers -= {writer, store_writer}
+
+    async def _pass_on(self, reader, writer, *, is_call):
+        try:
+            while received := await reader.read(65536):
+                self.calls += is_call
+                writer.write(received)
+                await writer.drain()
+        except OSError:
+            pass
+        writer.close()
+
+
 class Backend(HttpServer):
     """A sound backend: it runs what it accepts, and says what it did not run."""
 
@@ -219,7 +283,8 @@
         self.sequence = 0
         # What was run: id, method, path, headers and body.
         self.ran = []
-        self.load = None
+        # Whether it says in its answers that it leaves.
+        self.is_leaving = False
         self.body = b'the whole answer of a backend'
 
     def row(self, state='ready'):
@@ -261,10 +326,11 @@
 
     def head(self, status, request_id, length, *, extra='', load=None):
         load = load or f'{self.running},0,{self.slots}'
+        leaving = 'Server-Leaving: 1\r\n' if self.is_leaving else ''
         return (
             f'HTTP/1.1 {status} Answer\r\nX-Request-Id: {request_id or ""}\r\n'
             f'X-Server-Stamp: {self.name}.{request_id}\r\nX-Server-Load: {load}\r\n'
-            f'Content-Length: {length}\r\n{extra}\r\n'
+            f'Content-Length: {length}\r\n{leaving}{extra}\r\n'
         ).encode()
 
 
@@ -483,9 +549,11 @@
         self.store = Store()
         self.backends = []
         self.entries = []
+        self.links = []
         self.version = 0
 
-    async def open(self, *, entries=2, backends=(), config):
+    async def open(self, *, entries=2, backends=(), config, has_links=False):
+        """Start everything; with links, each instance has its own to the store."""
         await self.store.start()
         for backend in backends:
             await backend.start()
@@ -494,7 +562,12 @@
         self.configure(**config)
         for number in range(entries):
             zone = list(REGIONS)[number % len(REGIONS)]
-            entry = Entry(number, self.store.address, self.folder.name, self.record, zone)
+            address = self.store.address
+            if has_links:
+                self.links.append(StoreLink(address))
+                await self.links[-1].start()
+                address = self.links[-1].address
+            entry = Entry(number, address, self.folder.name, self.record, zone)
             self.entries.append(entry)
             await entry.start()
         await self.wait_until_ready()
@@ -519,7 +592,7 @@
     async def close(self):
         for entry in self.entries:
             await entry.kill()
-        for server in (*self.backends, self.store):
+        for server in (*self.backends, *self.links, self.store):
             if server.server is not None:
                 server.stop()
         self.folder.cleanup()
