--- a/review/standins.py
+++ b/review/standins.py
@@ -13,11 +13,13 @@
 import re
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
 import tomllib
 from pathlib import Path
+from urllib.parse import unquote_plus
 
 ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
@@ -75,6 +77,15 @@
     return await reader.readexactly(int(headers.get('content-length', '0')))
 
 
+def reset(writer):
+    """Close a connection so that its peer sees a reset."""
+    if not writer.transport.is_closing():
+        linger = struct.pack('ii', 1, 0)
+        sock = writer.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+
 class HttpServer:
     """Serve one request at a time on each connection."""
 
@@ -90,9 +101,10 @@
         self.address = f'{self.ip}:{port}'
 
     def stop(self):
+        """Stop as a process does that crashes."""
         self.server.close()
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def _serve(self, reader, writer):
         self.writers.add(writer)
@@ -150,8 +162,6 @@
         target = first.split(' ')[1]
         path, _, text = target.partition('?')
         query = dict(pair.partition('=')[::2] for pair in text.split('&') if pair)
-        from urllib.parse import unquote_plus
-
         query = {name: unquote_plus(value) for name, value in query.items()}
         await asyncio.sleep(0.004)
         status, document = await self.call(path, query, body)
@@ -233,7 +243,7 @@
         """Reset all connections, and each new one, until it heals."""
         self.is_cut = True
         for writer in self.writers:
-            writer.transport.abort()
+            reset(writer)
         self.writers.clear()
 
     def heal(self):
@@ -245,7 +255,7 @@
 
     async def _serve(self, reader, writer):
         if self.is_cut:
-            writer.transport.abort()
+            reset(writer)
             return
         ip, port = self.store_address.split(':')
         store_reader, store_writer = await asyncio.open_connection(ip, int(port))
@@ -334,7 +344,7 @@
         ).encode()
 
 
-def make_config(version, routes, services, tenants=None):
+def make_config(version, routes, services, tenants=None, limits=None):
     """Return a config of the operator; each part maps names to specs."""
     resources = []
     for kind, specs in (('routes', routes), ('services', services), ('tenants', tenants or {})):
@@ -342,13 +352,14 @@
             resources.append(
                 {'resource_kind': kind, 'metadata': {'name': name}, 'spec': spec}
             )
-    limits = {
+    spec = {
         'max_header_bytes': 16384,
         'max_body_bytes': 1048576,
         'header_timeout_s': 5,
         'idle_timeout_s': 30,
+        **(limits or {}),
     }
-    resources.append({'resource_kind': 'limits', 'spec': limits})
+    resources.append({'resource_kind': 'limits', 'metadata': {}, 'spec': spec})
     return {'config_version': version, 'resource_list': resources}
 
 
