--- a/review/standins.py
+++ b/review/standins.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+from contextlib import ExitStack
 from pathlib import Path
 from urllib.parse import unquote_plus
 
@@ -334,8 +335,8 @@
         writer.write(self.head(200, request_id, len(self.body)) + self.body)
         return True
 
-    def head(self, status, request_id, length, *, extra='', load=None):
-        load = load or f'{self.running},0,{self.slots}'
+    def head(self, status, request_id, length, *, extra=''):
+        load = f'{self.running},0,{self.slots}'
         leaving = 'Server-Leaving: 1\r\n' if self.is_leaving else ''
         return (
             f'HTTP/1.1 {status} Answer\r\nX-Request-Id: {request_id or ""}\r\n'
@@ -403,10 +404,13 @@
     return re.sub(r'\{\{([\w.]+)\}\}', value, text)
 
 
-def find_free_port(ip):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+def find_free_ports(ip, count):
+    """Return different ports that are free on an address."""
+    with ExitStack() as probes:
+        sockets = [probes.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind((ip, 0))
+        return [each.getsockname()[1] for each in sockets]
 
 
 def choose_ip(number):
@@ -430,8 +434,9 @@
         self.record = record
         self.ip = choose_ip(number)
         self.name = f'edge-{zone}-{number}'
-        ports = {name: find_free_port(self.ip) for name in ('frontend', 'ready', 'directory_addr')}
-        self.addresses = {name: f'{self.ip}:{port}' for name, port in ports.items()}
+        names = ('frontend', 'ready', 'directory_addr')
+        ports = zip(names, find_free_ports(self.ip, len(names)), strict=True)
+        self.addresses = {name: f'{self.ip}:{port}' for name, port in ports}
         self.address = self.addresses['frontend']
         fields = {
             'node_name': self.name,
