Check keys as soon as the configuration has a team

Cause: the check was skipped while the index of keys was empty. An empty index stood for a configuration without teams, which needs no key, and for one whose teams have no key left, which accepts none.

Change: the index knows whether there is a team. Without any, keys are not checked, as before.

--- a/src/currantspur/decisions/api_key_index.py
+++ b/src/currantspur/decisions/api_key_index.py
@@ -1,7 +1,7 @@
 """Identify teams by their API keys."""
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 from currantspur.messages import Team
 
@@ -13,12 +13,14 @@
     """Find teams by digests of their API keys.
 
     The keys themselves are not kept. A withdrawn key, which the configuration
-    no longer lists, is not found.
+    no longer lists, is not found. Requests need a key as soon as there is a
+    team, also while no team has one.
     """
 
-    __slots__ = ('by_digest',)
+    __slots__ = ('by_digest', 'requires_key')
 
-    def __init__(self, teams: Iterable[Team] = ()) -> None:
+    def __init__(self, teams: Sequence[Team] = ()) -> None:
+        self.requires_key = bool(teams)
         self.by_digest = {
             digest_key(key): team for team in teams for key in team.keys
         }
--- a/src/currantspur/pipelines/admission.py
+++ b/src/currantspur/pipelines/admission.py
@@ -115,8 +115,8 @@
 class IdentifyTeam(AdmissionCheck):
     """Identify the team by its API key, except on anonymous routes.
 
-    The key is removed from the request. While no team has keys, keys are not
-    checked: requests pass without a team.
+    The key is removed from the request. Without any team, keys are not
+    checked.
     """
 
     __slots__ = ('state',)
@@ -133,7 +133,7 @@
         if (
             route is None
             or route.allows_anonymous
-            or not self.state.api_key_index.by_digest
+            or not self.state.api_key_index.requires_key
         ):
             return None
         team = self.state.api_key_index.find(key)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -161,6 +161,42 @@
     assert admit(task, api_key='k2').refusal is None
 
 
+def withdraw_keys(*names, version=8):
+    """Return a version in which teams with these names have no keys."""
+    return Configuration(
+        version=version,
+        routes=CONFIGURATION.routes,
+        teams=tuple(Team(name=name, rate_per_s=50.0) for name in names),
+    )
+
+
+# Guards against requests with any key that run, without a team, once no team
+# has a key left.
+@pytest.mark.parametrize('key', ['k1', 'k9', '', None])
+@pytest.mark.parametrize('names', [('one',), ('one', 'far', 'lost')])
+@pytest.mark.parametrize('is_restarted', [True, False])
+def test_no_key_is_valid_while_teams_have_none(is_restarted, names, key):
+    task = make_task(None if is_restarted else CONFIGURATION)
+    apply_configuration(task, withdraw_keys(*names))
+    assert admit(task, api_key=key).refusal.code == 'key_unknown'
+    assert admit(task, '/open/1', api_key=key).refusal is None
+
+
+def test_older_keys_stay_withdrawn_after_a_copy():
+    task = make_task()
+    apply_configuration(task, withdraw_keys('one'))
+    apply_configuration(task, CONFIGURATION)
+    assert admit(task).refusal.code == 'key_unknown'
+
+
+@pytest.mark.parametrize('key', ['k1', None])
+def test_configuration_without_teams_needs_no_key(key):
+    task = make_task()
+    apply_configuration(task, withdraw_keys())
+    context = admit(task, api_key=key)
+    assert (context.refusal, context.team) == (None, None)
+
+
 @pytest.mark.parametrize(
     ('fleet_size', 'total_per_s', 'admitted_count'),
     [
