Count a head with a control character as no response

Callers saw: a connection closed without an answer, and with it all requests pipelined behind, though these had been passed on to sound targets (LOST).

Cause: the client library accepts control characters in the headers of a response, the server library refuses to write them. The answer counted as sound; writing its head raised after the handler had returned, so that the server library closed the connection.

Change: such a head is no response. The request may have run: it is sent to another target if it may run again, otherwise the caller gets 502. The connection to the target is closed.

--- a/src/currantspur/wire/targets.py
+++ b/src/currantspur/wire/targets.py
@@ -33,6 +33,7 @@
     ProtocolNames,
     filter_forwarded_headers,
 )
+from currantspur.wire.response_heads import find_head_fault
 from currantspur.wire.sockets import open_keepalive_socket
 
 MS_PER_S = 1000
@@ -164,6 +165,11 @@
         outgoing_request: OutgoingRequest,
     ) -> None:
         """Raise TargetError unless the target ran and answered this request."""
+        fault = find_head_fault(response.headers.items())
+        if fault is not None:
+            # What follows on the connection may be no response either.
+            response.close()
+            raise TargetError(fault, may_have_run=True)
         response_id = response.headers.get(self.names.request_id_header)
         if response_id != outgoing_request.request_id:
             # Also a rejection: it may be that of an earlier request, repeated.
