Count a status below 200 as no response

Callers saw: a target's 101, or a status below 100, as the answer to their request. They had asked for no upgrade, and wait for a final response or take the answers that follow on the connection for another protocol.

Cause: the client library skips interim responses, but returns 101 and statuses below 100 as final ones; they were passed on.

Change: such a head is no response. The request is sent to another target if it may run again, otherwise the caller gets 502.

10 of 18 cases of test_status_that_is_not_final_is_no_answer failed before, and pass now.

--- a/src/currantspur/wire/response_heads.py
+++ b/src/currantspur/wire/response_heads.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import Iterable
+from http import HTTPStatus
 from typing import Final
 
 # The HTTP client library accepts these in names and values of headers, the
@@ -9,8 +10,14 @@
 _CONTROL_CHARACTERS: Final = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
 
 
-def find_head_fault(headers: Iterable[tuple[str, str]]) -> str | None:
-    """Return why a head cannot be passed on to a caller; None if it can."""
+def find_head_fault(
+    status: int, headers: Iterable[tuple[str, str]]
+) -> str | None:
+    """Return why a head is not one of a final response; None if it is."""
+    if status < HTTPStatus.OK:
+        # No request asks for an upgrade, and other interim responses are
+        # skipped by the client library.
+        return f'status {status} is not final'
     for name, text in headers:
         if _CONTROL_CHARACTERS.search(name + text):
             return 'control character in the head'
--- a/src/currantspur/wire/targets.py
+++ b/src/currantspur/wire/targets.py
@@ -165,7 +165,7 @@
         outgoing_request: OutgoingRequest,
     ) -> None:
         """Raise TargetError unless the target ran and answered this request."""
-        fault = find_head_fault(response.headers.items())
+        fault = find_head_fault(response.status, response.headers.items())
         if fault is not None:
             # What follows on the connection may be no response either.
             response.close()
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -216,6 +216,18 @@
             assert status in {502, 204} or received == SHORT_BODY, odd
 
 
+# A status below 200 would make the caller wait for another response.
+@pytest.mark.parametrize('body', [SHORT_BODY, LONG_BODY], ids=len)
+@pytest.mark.parametrize('status', [0, 7, 20, 99, 101, 200, 299, 599, 999])
+async def test_status_that_is_not_final_is_no_answer(status, body):
+    status_line = f'HTTP/1.1 {status:03d} Odd\r\n'.encode()
+    async with open_caller() as caller:
+        received, _, _ = await caller.ask(
+            encode_answer(body=body, status_line=status_line)
+        )
+    assert received == (502 if status < 200 else status)
+
+
 class Spoiling(Behaviour):
     """Execute each request and spoil the head of its response."""
 
