--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -225,7 +225,8 @@
         received, _, _ = await caller.ask(
             encode_answer(body=body, status_line=status_line)
         )
-    assert received == (502 if status < 200 else status)
+    expected = 502 if status < 200 else status
+    assert received == expected
 
 
 class Spoiling(Behaviour):
