Pass on how long ago the store confirmed the rows

Callers saw: with the two instances cut off that read the store for a region, the other twelve, which reach it, ran requests by an old service and with a withdrawn key until the cut healed, 7.5 s after the change (CONFIG).

Cause: an answer "no change" of a relay had no age. Both relays asked each other, took the other's answer for news, and reassured their readers. A relay of a zone did the same to its readers. Relays that are silent or frozen were waited for one after the other, 1.5 s each.

The gauges of the age of the rows counted any answer; they now count from the store's own word, and `source_silent` tells that a reader gave up on a relay.

Change: each answer of a relay says how long ago the store itself confirmed the rows. Relays pass a confirmation on at once, so that rows are about a second old over both steps. Rows older than 1.4 s, 1.6 s behind two relays, are asked of the store itself, whatever relays answer. A relay that has not read a table yet no longer answers "no change".

--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -6,6 +6,7 @@
 from currantspur.background_tasks import BackgroundTasks
 from currantspur.decisions.table_sources import (
     STORE_SOURCE,
+    count_relays,
     has_relays,
     order_sources,
 )
@@ -102,6 +103,7 @@
             store=PlatformStore(settings.store, self.metrics),
             relay_client=HttpRelayClient(),
             clock=self.clock,
+            journal=self.journal,
         )
         self.row_relay = RowRelay(clock=self.clock)
         self.target_client = HttpTargetClient(PLATFORM_NAMES)
@@ -292,7 +294,7 @@
     def _create_relay_handler(self) -> RowRelayHandler:
         return RowRelayHandler(
             self.row_relay.mailbox,
-            get_silence_s=lambda table: self.followers.measure_silence_s(
+            get_age_s=lambda table: self.followers.measure_age_s(
                 table, self.clock.now()
             ),
             get_era=self.followers.get_era,
@@ -336,6 +338,7 @@
         own = self.membership.membership_table.own_heartbeat.instance
         sources = order_sources(view, own)
         self.store.source_order = sources
+        self.store.row_ages.set_relay_count(count_relays(view, own))
         self.followers.follow_relays(
             is_relayed=sources[0] != STORE_SOURCE, has_readers=has_relays(view)
         )
--- a/src/currantspur/decisions/table_sources.py
+++ b/src/currantspur/decisions/table_sources.py
@@ -35,17 +35,42 @@
         return STORE_SOURCE, *_list_peers(
             _rank(in_region or reachable, own.name), own
         )
-    region_relays = rank_by_link(in_region, own.region)[:RELAYS_PER_REGION]
+    region_relays = _list_region_relays(in_region, own)
     if _contains(region_relays, own):
         return STORE_SOURCE, *_list_peers(region_relays, own)
-    relays = _list_zone_relays(in_region, region_relays, own)
-    if _contains(relays, own):
-        relays = region_relays
+    relays = _list_relays(in_region, region_relays, own)
     sources = _list_peers(_rank(relays, own.name), own)
     others = _list_peers(_rank(region_relays, own.name), own)
     return *dict.fromkeys((*sources, *others)), STORE_SOURCE
 
 
+def count_relays(view: FleetView, own: Instance) -> int:
+    """Return the number of relays between an instance and the store."""
+    reachable = view.reachable_instances or view.live_instances
+    in_region = [peer for peer in reachable if peer.region == own.region]
+    if not has_relays(view) or not in_region:
+        return 0
+    region_relays = _list_region_relays(in_region, own)
+    if _contains(region_relays, own):
+        return 0
+    relays = _list_relays(in_region, region_relays, own)
+    return 1 if _contains(region_relays, relays[0]) else 2
+
+
+def _list_region_relays(
+    in_region: list[Instance], own: Instance
+) -> list[Instance]:
+    return rank_by_link(in_region, own.region)[:RELAYS_PER_REGION]
+
+
+def _list_relays(
+    in_region: list[Instance], region_relays: list[Instance], own: Instance
+) -> list[Instance]:
+    """Return the relays from which an instance reads that is none itself."""
+    relays = _list_zone_relays(in_region, region_relays, own)
+    return region_relays if _contains(relays, own) else relays
+
+
 def _list_zone_relays(
     in_region: list[Instance], region_relays: list[Instance], own: Instance
 ) -> list[Instance]:
--- a/src/currantspur/messages/__init__.py
+++ b/src/currantspur/messages/__init__.py
@@ -42,6 +42,7 @@
 from currantspur.messages.table_updates import (
     ConfigurationUpdate,
     EvacuationsUpdate,
+    TableConfirmation,
     TableSnapshot,
     TargetsUpdate,
 )
@@ -83,6 +84,7 @@
     'ServiceLoad',
     'ShutdownStarted',
     'SpillPlan',
+    'TableConfirmation',
     'TableSnapshot',
     'Target',
     'TargetLoad',
--- a/src/currantspur/messages/table_updates.py
+++ b/src/currantspur/messages/table_updates.py
@@ -52,6 +52,19 @@
         self.outage_ended_at = outage_ended_at
 
 
+class TableConfirmation(Message):
+    """The store has confirmed the newest snapshot of a table.
+
+    ``confirmed_at`` is in monotonic seconds.
+    """
+
+    __slots__ = ('confirmed_at', 'table')
+
+    def __init__(self, *, table: str, confirmed_at: float) -> None:
+        self.table = table
+        self.confirmed_at = confirmed_at
+
+
 class ConfigurationUpdate(Message):
     """A configuration that was read from the store at a revision."""
 
--- a/src/currantspur/state_metrics.py
+++ b/src/currantspur/state_metrics.py
@@ -43,8 +43,8 @@
 ) -> None:
     metrics.add_gauge(
         f'{table}_age_seconds',
-        'Since the store or a peer last answered for the table.',
-        lambda: clock.now() - follower.last_response_at,
+        'Since the store itself last confirmed the rows of the table.',
+        lambda: clock.now() - follower.confirmed_at,
     )
 
 
--- a/src/currantspur/tasks/failover_store.py
+++ b/src/currantspur/tasks/failover_store.py
@@ -1,26 +1,27 @@
 """Store that reads tables from the store itself or from peers."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
+from currantspur.decisions.row_age import RowAges
 from currantspur.decisions.table_sources import STORE_SOURCE
 from currantspur.errors import StoreAwayError
 from currantspur.messages.table_rows import RowsResponse
 from currantspur.tasks.clock import Clock
+from currantspur.tasks.journal import Journal
 from currantspur.tasks.ports import Store
 
 # A source that did not respond or was stale is not asked for this long, unless
 # it is the preferred one and all others are in their cooldown too.
 SOURCE_COOLDOWN_S = 2.0
-# An instance that reads the store itself asks it again so soon: peers may have
-# lost it too, and do not know that it is back.
+# An instance that reads the store itself, or whose peers know nothing of it,
+# asks it again so soon: nobody else tells that it is back.
 STORE_COOLDOWN_S = 0.5
 # The first poll of the store after a failure tells whether it is back, and from
 # which copy; a long one might wait for a change instead.
 FIRST_POLL_S = 0.2
-# Long polls of peers, and of the store in place of peers, are this short: a
-# source that hears nothing itself is noticed at their end, and the preferred
-# one is soon used again.
+# Long polls of the store in place of peers, and the wait for a whole table, are
+# this short, so that the preferred source is soon used again.
 PEER_LONG_POLL_S = 1.0
 
 # Revision that asks for the whole table instead of changes after a revision.
@@ -34,10 +35,17 @@
 
     @abstractmethod
     async def fetch(
-        self, address: str, table: str, *, after: int, wait_s: float
+        self,
+        address: str,
+        table: str,
+        *,
+        after: int,
+        wait_s: float,
+        age_s: float,
     ) -> RowsResponse:
         """Return rows changed after a revision; empty if none within wait_s.
 
+        The peer answers earlier if its rows are younger than age_s by enough.
         Raise HistoryLostError if the peer does not know the changes since that
         revision and StoreAwayError if it does not respond. A negative revision
         asks for the whole table.
@@ -51,8 +59,9 @@
 class FailoverStore(Store):
     """Store that asks its sources in order until one responds.
 
-    The response of a peer counts as much as that of the store itself. The next
-    source is asked after a StoreAwayError, but not after a HistoryLostError.
+    The next source is asked after a StoreAwayError, but not after a
+    HistoryLostError, and the store itself as soon as the rows of a table are
+    too old, whatever relays answer.
     """
 
     __slots__ = (
@@ -60,18 +69,27 @@
         'clock',
         'cooldown_until',
         'failed_tables',
+        'journal',
         'last_source_by_table',
         'relay_client',
+        'row_ages',
         'source_order',
         'store',
     )
 
     def __init__(
-        self, *, store: Store, relay_client: RelayPort, clock: Clock
+        self,
+        *,
+        store: Store,
+        relay_client: RelayPort,
+        clock: Clock,
+        journal: Journal,
     ) -> None:
         self.store = store
         self.relay_client = relay_client
         self.clock = clock
+        self.journal = journal
+        self.row_ages = RowAges()
         # Addresses of peers and STORE_SOURCE, preferred source first.
         self.source_order: tuple[str, ...] = (STORE_SOURCE,)
         # Source of the latest call for each table.
@@ -100,8 +118,8 @@
     ) -> RowsResponse:
         """Return rows changed after a revision; empty if none within wait_s.
 
-        The wait at peers is at most PEER_LONG_POLL_S, or STORE_COOLDOWN_S where
-        they stand in for the store.
+        Peers are left as much time as the age of the rows allows, or
+        STORE_COOLDOWN_S where they stand in for the store.
         """
         return await self._fetch_with_failover(table, after, wait_s)
 
@@ -125,7 +143,7 @@
         self, table: str, after: int, wait_s: float
     ) -> RowsResponse:
         failure = StoreAwayError('no source of the table is known')
-        for source in self._list_usable_sources(table):
+        for source in self._iterate_sources(table):
             try:
                 return await self._fetch_from(source, table, after, wait_s)
             except StoreAwayError as error:
@@ -133,9 +151,32 @@
                 self._start_cooldown(table, source)
         raise failure
 
+    def _iterate_sources(self, table: str) -> Iterator[str]:
+        """Yield the first usable source; then the store, if rows are too old.
+
+        Their age is measured anew after each source, as it may have taken long
+        to fail.
+        """
+        first, *others = self._list_usable_sources(table)
+        yield first
+        while others:
+            is_store_due = self._is_too_old(table) and STORE_SOURCE in others
+            source = STORE_SOURCE if is_store_due else others[0]
+            others.remove(source)
+            yield source
+
+    def _is_too_old(self, table: str) -> bool:
+        # An instance that prefers the store learns of changes at once.
+        return not self._prefers_store() and self.row_ages.is_too_old(
+            table, self.clock.now()
+        )
+
     def _start_cooldown(self, table: str, source: str) -> None:
-        is_replaced = source == STORE_SOURCE and self._prefers_store()
-        cooldown_s = STORE_COOLDOWN_S if is_replaced else SOURCE_COOLDOWN_S
+        is_needed = self._prefers_store() or self._is_too_old(table)
+        is_store = source == STORE_SOURCE
+        cooldown_s = (
+            STORE_COOLDOWN_S if is_store and is_needed else SOURCE_COOLDOWN_S
+        )
         self.cooldown_until[table, source] = self.clock.now() + cooldown_s
         if source == STORE_SOURCE:
             self.failed_tables.add(table)
@@ -148,14 +189,45 @@
     ) -> RowsResponse:
         self.last_source_by_table[table] = source
         if source != STORE_SOURCE:
-            longest_s = (
-                STORE_COOLDOWN_S if self._prefers_store() else PEER_LONG_POLL_S
-            )
-            return await self.relay_client.fetch(
-                source, table, after=after, wait_s=min(wait_s, longest_s)
-            )
+            return await self._fetch_from_peer(source, table, after, wait_s)
         response = await self._fetch_from_store(table, after, wait_s)
         self.failed_tables.discard(table)
+        self.row_ages.record(table, self.clock.now() - response.age_s)
+        return response
+
+    async def _fetch_from_peer(
+        self, source: str, table: str, after: int, wait_s: float
+    ) -> RowsResponse:
+        """Return what a peer answers; raise StoreAwayError if that is too old.
+
+        Changed rows are of use, however old.
+        """
+        called_at = self.clock.now()
+        # The age does not matter to a relay that is asked for all rows.
+        is_poll = after != WHOLE_TABLE
+        age_s = self.row_ages.measure_s(table, called_at) if is_poll else 0.0
+        longest_s = (
+            STORE_COOLDOWN_S
+            if self._prefers_store()
+            else self.row_ages.find_patience_s(table, called_at)
+        )
+        response = await self.relay_client.fetch(
+            source,
+            table,
+            after=after,
+            wait_s=min(wait_s, longest_s),
+            age_s=age_s,
+        )
+        answered_at = self.clock.now()
+        self.row_ages.record(table, answered_at - response.age_s)
+        if self._is_too_old(table) and not response.rows_by_key:
+            self.journal.note(
+                'source_silent',
+                table=table,
+                source=source,
+                age_s=round(self.row_ages.measure_s(table, answered_at), 3),
+            )
+            raise StoreAwayError('peer: no news of the store')
         return response
 
     async def _fetch_from_store(
--- a/src/currantspur/tasks/follower_group.py
+++ b/src/currantspur/tasks/follower_group.py
@@ -27,9 +27,9 @@
             for table, follower in self.by_table.items()
         }
 
-    def measure_silence_s(self, table: str, at: float) -> float:
-        """Return the seconds since a call for a table was answered."""
-        return at - self.by_table[table].last_response_at
+    def measure_age_s(self, table: str, at: float) -> float:
+        """Return the seconds since the store confirmed the rows of a table."""
+        return at - self.by_table[table].confirmed_at
 
     def get_era(self, table: str) -> int:
         """Return the era of the store in which a table was read, or -1."""
--- a/src/currantspur/tasks/row_relay.py
+++ b/src/currantspur/tasks/row_relay.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable
 
-from currantspur.messages import Message, TableSnapshot
+from currantspur.decisions.row_age import can_renew
+from currantspur.messages import Message, TableConfirmation, TableSnapshot
 from currantspur.messages.revisions import get_era
 from currantspur.messages.table_rows import RowsRequest, RowsResponse
 from currantspur.tasks.clock import Clock
@@ -84,21 +85,44 @@
         self.made_at = at
 
 
+class WaitingRequest(Message):
+    """A request that cannot be answered yet, and when it was received."""
+
+    __slots__ = ('envelope', 'received_at', 'request')
+
+    def __init__(self, envelope: Envelope, request: RowsRequest, at: float):
+        self.envelope = envelope
+        self.request = request
+        self.received_at = at
+
+    def measure_age_s(self, at: float) -> float:
+        """Return how long ago the store confirmed the rows of the reader."""
+        return self.request.age_s + at - self.received_at
+
+
 class RowRelay(Task):
     """Answer row requests of peers at once or when their table changes.
 
     The reply to a RowsRequest is a RowsResponse, or None if the changes since
     its revision are not known. A request waits until its sender cancels it or
-    it can be answered.
+    it can be answered: with changes, or without any once the store has
+    confirmed the rows here more recently than those of the reader.
     """
 
-    __slots__ = ('clock', 'histories', 'responses', 'waiting_requests')
+    __slots__ = (
+        'clock',
+        'confirmed_at_by_table',
+        'histories',
+        'responses',
+        'waiting_requests',
+    )
 
     def __init__(self, *, clock: Clock) -> None:
         super().__init__()
         self.clock = clock
         self.histories: dict[str, TableHistory] = {}
-        self.waiting_requests: list[tuple[Envelope, RowsRequest]] = []
+        self.confirmed_at_by_table: dict[str, float] = {}
+        self.waiting_requests: list[WaitingRequest] = []
         # By table and revision after which changes were requested.
         self.responses: dict[tuple[str, int], CachedResponse] = {}
 
@@ -108,10 +132,16 @@
             message = envelope.message
             if isinstance(message, TableSnapshot):
                 self._record_snapshot(message)
+            elif isinstance(message, TableConfirmation):
+                self.confirmed_at_by_table[message.table] = message.confirmed_at
             elif isinstance(message, RowsRequest):
-                self.waiting_requests.append((envelope, message))
+                self.waiting_requests.append(
+                    WaitingRequest(envelope, message, self.clock.now())
+                )
         self.waiting_requests = [
-            pair for pair in self.waiting_requests if not self._try_reply(*pair)
+            waiting
+            for waiting in self.waiting_requests
+            if not self._try_reply(waiting)
         ]
 
     def _record_snapshot(self, snapshot: TableSnapshot) -> None:
@@ -122,8 +152,9 @@
         else:
             history.update(snapshot)
 
-    def _try_reply(self, envelope: Envelope, request: RowsRequest) -> bool:
+    def _try_reply(self, waiting: WaitingRequest) -> bool:
         """Reply if possible; return whether the request is done."""
+        envelope, request = waiting.envelope, waiting.request
         if envelope.reply_future is None or envelope.reply_future.done():
             return True
         history = self.histories.get(request.table)
@@ -134,11 +165,19 @@
             envelope.set_reply(None)
             return True
         response = self._find_response(request, history)
-        if request.after_revision >= 0 and not response.rows_by_key:
+        is_unchanged = request.after_revision >= 0 and not response.rows_by_key
+        if is_unchanged and not self._can_renew(waiting):
             return False
         envelope.set_reply(response)
         return True
 
+    def _can_renew(self, waiting: WaitingRequest) -> bool:
+        confirmed_at = self.confirmed_at_by_table.get(waiting.request.table)
+        if confirmed_at is None:
+            return False
+        now = self.clock.now()
+        return can_renew(now - confirmed_at, waiting.measure_age_s(now))
+
     def _find_response(
         self, request: RowsRequest, history: TableHistory
     ) -> RowsResponse:
--- a/src/currantspur/tasks/table_follower.py
+++ b/src/currantspur/tasks/table_follower.py
@@ -7,9 +7,10 @@
 
 from currantspur.decisions.store_outage import StoreOutage
 from currantspur.errors import HistoryLostError, StoreAwayError
-from currantspur.messages import Message, TableSnapshot
+from currantspur.messages import Message, TableConfirmation, TableSnapshot
 from currantspur.messages.revisions import get_era, get_version, make_revision
 from currantspur.messages.table_rows import RowsResponse
+from currantspur.messages.table_updates import NEVER
 from currantspur.pipelines.filter import Filter
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.journal import Journal
@@ -19,8 +20,9 @@
 # A long poll returns without changes after this time. Silent connections are
 # found sooner, by keep-alive probes and by the revisions of peers.
 LONG_POLL_S = 10.0
-# In a fleet that reads through relays; less than MAX_SILENCE_S of wire.relays.
-RELAY_LONG_POLL_S = 1.0
+# Of relays that read the store: with BATCH_DELAY_S and a slow store, less than
+# the age from which their readers ask the store themselves.
+RELAY_LONG_POLL_S = 0.8
 # Peers learn of a change at about the same time; a follower that still lacks it
 # after this time asks again by a new call.
 STALE_AFTER_S = 0.4
@@ -49,10 +51,10 @@
         'behind_since',
         'call_started_at',
         'clock',
+        'confirmed_at',
         'decoder',
         'highest_revision',
         'journal',
-        'last_response_at',
         'long_poll_s',
         'newest_peer',
         'newest_row_revision',
@@ -99,7 +101,8 @@
         self.journal = journal
         self.random = random
         self.on_era = on_era
-        self.last_response_at = clock.now()
+        # When the store itself last said that the rows are the newest.
+        self.confirmed_at = NEVER
         # Negative where the next call must read the whole table.
         self.revision = -1
         self.highest_revision = -1
@@ -144,10 +147,11 @@
     def follow_relays(self, *, is_relayed: bool, has_readers: bool) -> None:
         """Allow for the delay of relays if the table is read through some.
 
-        An instance through which others may read polls often enough to tell
-        them that it still hears from the store.
+        An instance that reads the store for others polls often enough to tell
+        them that their rows are the newest; relays pass that on at once.
         """
-        self.long_poll_s = RELAY_LONG_POLL_S if has_readers else LONG_POLL_S
+        is_first_relay = has_readers and not is_relayed
+        self.long_poll_s = RELAY_LONG_POLL_S if is_first_relay else LONG_POLL_S
         self.stale_after_s = (
             RELAYED_STALE_AFTER_S if is_relayed else STALE_AFTER_S
         )
@@ -243,9 +247,13 @@
         if self.pending_call.cancelled():
             return None
         response = self.pending_call.result()
-        self.last_response_at = self.clock.now()
         self._record_recovery()
         now = self.clock.now()
+        self.confirmed_at = max(self.confirmed_at, now - response.age_s)
+        # Changed rows follow before the relay gets its turn.
+        self.row_relay.post(
+            TableConfirmation(table=self.table, confirmed_at=self.confirmed_at)
+        )
         self.store_outage.record_end(now - response.outage_ended_s_ago)
         if response.newest_row_revision > self.newest_row_revision:
             self.store_outage.record_change(now)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -12,7 +12,13 @@
 from currantspur.messages.table_rows import RowsRequest, RowsResponse
 from currantspur.standins import Fleet
 from currantspur.standins.fleet import find_free_address, wait_until
-from currantspur.tasks import FailoverStore, RelayPort, RowRelay, Store
+from currantspur.tasks import (
+    FailoverStore,
+    Journal,
+    RelayPort,
+    RowRelay,
+    Store,
+)
 from currantspur.tasks.failover_store import (
     FIRST_POLL_S,
     PEER_LONG_POLL_S,
@@ -20,6 +26,7 @@
     STORE_COOLDOWN_S,
 )
 from currantspur.wire.heartbeats import JsonInstanceCodec
+from tests.test_admission import NullSink
 from tests.virtual import VirtualClock
 
 
@@ -183,7 +190,7 @@
     async def poll_changes(self, table, *, after, wait_s):
         return self.respond('')
 
-    async def fetch(self, address, table, *, after, wait_s):
+    async def fetch(self, address, table, *, after, wait_s, age_s):
         return self.respond(address)
 
     def respond(self, source):
@@ -203,6 +210,13 @@
         raise AssertionError
 
 
+def make_failover_store(sources, clock):
+    journal = Journal(sink=NullSink(), clock=clock)
+    return FailoverStore(
+        store=sources, relay_client=sources, clock=clock, journal=journal
+    )
+
+
 NO_RESPONSE = StoreAwayError('no response')
 
 
@@ -225,7 +239,7 @@
     order, response_by_source, asked_sources, revision
 ):
     scripted, clock = ScriptedSources(response_by_source), VirtualClock()
-    store = FailoverStore(store=scripted, relay_client=scripted, clock=clock)
+    store = make_failover_store(scripted, clock)
     store.source_order = order
     try:
         response = await store.poll_changes('t', after=1, wait_s=1)
@@ -257,7 +271,7 @@
 ):
     clock = VirtualClock()
     scripted = ScriptedSources({'': 3, 'a': 3, 'b': 9, 'c': 9})
-    store = FailoverStore(store=scripted, relay_client=scripted, clock=clock)
+    store = make_failover_store(scripted, clock)
     store.source_order = order
     await store.read('t')
     store.report_stale('t', better_source=better)
@@ -292,7 +306,7 @@
     clock = VirtualClock()
     scripted = WaitingSources({'': NO_RESPONSE, 'p': NO_RESPONSE})
     scripted.asked_waits_s = []
-    store = FailoverStore(store=scripted, relay_client=scripted, clock=clock)
+    store = make_failover_store(scripted, clock)
     store.source_order = order
     with pytest.raises(StoreAwayError):
         await store.poll_changes('t', after=1, wait_s=10.0)
@@ -305,9 +319,7 @@
 
 async def test_lost_history_of_source_raises_error():
     scripted = ScriptedSources({'': HistoryLostError('lost')})
-    store = FailoverStore(
-        store=scripted, relay_client=scripted, clock=VirtualClock()
-    )
+    store = make_failover_store(scripted, VirtualClock())
     with pytest.raises(HistoryLostError):
         await store.poll_changes('t', after=1, wait_s=1)
 
