Ignore load reports of more than six digits

Callers saw: 502 for all requests of a service after one answer whose load header had hundreds of digits; with more than 4,300 of them the connection was closed instead, and requests pipelined behind were cut.

Cause: the counts of the header were converted without a bound. Python refuses to read the longest, and others do not fit into a float, so that each later placement raised OverflowError.

Change: such a header is malformed and counts as no report; the answer is passed on.

--- a/src/currantspur/wire/targets.py
+++ b/src/currantspur/wire/targets.py
@@ -66,6 +66,8 @@
 )
 # Fields of the load header: running, queued, slots.
 LOAD_FIELD_COUNT = 3
+# A larger count is a mistake; hundreds of digits do not fit into a float.
+MAX_COUNT_DIGITS = 6
 
 
 class ConnectionTrace:
@@ -282,7 +284,7 @@
 def parse_load(header: str | None) -> TargetLoad | None:
     """Parse `running,queued,slots`; return None if absent or malformed."""
     counts = (header or '').split(',')
-    if len(counts) != LOAD_FIELD_COUNT or not all(map(_is_decimal, counts)):
+    if len(counts) != LOAD_FIELD_COUNT or not all(map(_is_count, counts)):
         return None
     running, queued, slots = map(int, counts)
     return TargetLoad(running=running, queued=queued, slots=slots)
@@ -297,6 +299,10 @@
     return number if isfinite(number) else None
 
 
+def _is_count(text: str) -> bool:
+    return _is_decimal(text) and len(text) <= MAX_COUNT_DIGITS
+
+
 def _is_decimal(text: str) -> bool:
     return text.isascii() and text.isdecimal()
 
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -27,7 +27,7 @@
     BUFFERED_RESPONSE_LIMIT_BYTES,
     HttpTargetClient,
 )
-from tests.fleets import first_value, open_fleet
+from tests.fleets import first_value, open_fleet, send_request
 
 TIMEOUT_S = 2.0
 SHORT_BODY = b'body'
@@ -229,17 +229,58 @@
     assert received == expected
 
 
-class Spoiling(Behaviour):
-    """Execute each request and spoil the head of its response."""
+class Answering(Behaviour):
+    """Execute each request and answer with given lines in the head."""
+
+    def __init__(self, lines):
+        self.lines = lines
 
     async def respond(self, target, request):
         await target.execute(request)
-        answer = encode_answer(body=RESPONSE_BODY, lines=SPOILED_LINE)
         request_id = request.headers['x-request-id'].encode()
+        answer = encode_answer(body=RESPONSE_BODY, lines=self.lines)
         request.writer.write(answer.replace(b'{id}', request_id))
         return True
 
 
+LOAD_LINE = 'X-Server-Load: {load}\r\n'
+ODD_LOADS = [
+    f'{10**6},0,4',
+    f'1,{10**400},4',
+    f'1,0,{10**4000}',
+    f'1,0,{10**4000}{10**1000}',
+    '-1,0,4',
+    'inf,nan,4',
+    '1e3,0,4',
+    '\u0661,0,4',
+    '1,0',
+    ',,',
+    '',
+]
+
+
+# Guards against a report of a target that costs its answer, the requests
+# behind it, or all later requests of its service.
+@pytest.mark.parametrize('load', ODD_LOADS, ids=range(len(ODD_LOADS)))
+async def test_odd_load_counts_as_no_report(load):
+    lines = LOAD_LINE.format(load=load).encode()
+    async with open_caller() as caller:
+        status, _, body = await caller.ask(
+            encode_answer(body=SHORT_BODY, lines=lines)
+        )
+        assert (status, body) == (200, SHORT_BODY)
+    async with open_fleet() as (fleet, session):
+        for target in fleet.targets.values():
+            target.behaviour = Answering(lines)
+        for number in range(4):
+            status, _, _ = await send_request(
+                session,
+                first_value(fleet.daemons),
+                f'{IDEMPOTENT_PREFIX}{number}',
+            )
+            assert status == 200
+
+
 @pytest.mark.parametrize(
     ('prefix', 'sound_targets', 'status'),
     [
@@ -251,7 +292,7 @@
 )
 async def test_spoiled_head_is_no_answer(prefix, sound_targets, status):
     async with open_fleet(targets=('north-1',) * sound_targets) as (fleet, _):
-        await fleet.open_target('spoiling', 'north-1', Spoiling())
+        await fleet.open_target('spoiling', 'north-1', Answering(SPOILED_LINE))
         await asyncio.sleep(0.2)
         daemon = first_value(fleet.daemons)
         reader, writer = await asyncio.open_connection(
