Write heads of answers byte for byte

Callers saw: a stamp without those of its bytes that are not UTF-8.

Cause: the client library decodes such bytes as surrogates, the writer of the server library leaves these out. Its variant in pure Python refuses to write them, which would end the connection as a control character did.

Change: a head with such bytes is written as it was received; others are written by the library as before.

All 8 cases of test_stamp_reaches_the_caller_unchanged failed before and pass now.

--- a/src/currantspur/wire/pipelining.py
+++ b/src/currantspur/wire/pipelining.py
@@ -10,6 +10,8 @@
 from aiohttp import web
 from aiohttp.http import RawRequestMessage
 
+from currantspur.wire.response_heads import make_request
+
 # Further requests of a connection wait until one of these is answered.
 MAX_EARLY_REQUESTS = 16
 # Only requests without a body begin early: a body arrives in its turn.
@@ -134,7 +136,9 @@
     def __init__(
         self, early_handler: EarlyRequestHandler, **options: Any
     ) -> None:
-        super().__init__(early_handler.handle, **options)
+        super().__init__(
+            early_handler.handle, request_factory=make_request, **options
+        )
         self.early_handler = early_handler
 
     def __call__(self) -> web.RequestHandler:
--- a/src/currantspur/wire/response_heads.py
+++ b/src/currantspur/wire/response_heads.py
@@ -1,10 +1,16 @@
-"""Check the heads of responses from targets before they are passed on."""
+"""Check the heads of responses from targets, and pass them on unchanged."""
 
+import asyncio
 import re
 from collections.abc import Iterable
 from http import HTTPStatus
 from typing import Final
 
+from aiohttp import StreamReader, web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import RawRequestMessage, StreamWriter
+from multidict import CIMultiDict
+
 # The HTTP client library accepts these in names and values of headers, the
 # server library refuses to write them (RFC 9110, 5.5).
 _CONTROL_CHARACTERS: Final = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
@@ -22,3 +28,46 @@
         if _CONTROL_CHARACTERS.search(name + text):
             return 'control character in the head'
     return None
+
+
+class ExactHeadWriter(StreamWriter):
+    """Write headers byte for byte as they were received.
+
+    aiohttp decodes bytes that are not UTF-8 as surrogates, which it leaves out
+    or refuses to write.
+    """
+
+    async def write_headers(
+        self, status_line: str, headers: CIMultiDict[str]
+    ) -> None:
+        """Write the head as aiohttp does if it is UTF-8, else unchanged."""
+        if all(map(_is_utf8, headers.values())):
+            await super().write_headers(status_line, headers)
+            return
+        lines = (f'{name}: {text}' for name, text in headers.items())
+        head = '\r\n'.join((status_line, *lines, '', ''))
+        self._headers_written = False
+        self._headers_buf = head.encode(errors='surrogateescape')
+
+
+def make_request(
+    message: RawRequestMessage,
+    payload: StreamReader,
+    protocol: web.RequestHandler,
+    _writer: AbstractStreamWriter,
+    task: 'asyncio.Task[None]',
+) -> web.BaseRequest:
+    """Return a request whose response has an exact head."""
+    loop = asyncio.get_running_loop()
+    writer = ExactHeadWriter(protocol, loop)
+    return web.BaseRequest(message, payload, protocol, writer, task, loop)
+
+
+def _is_utf8(text: str) -> bool:
+    if text.isascii():
+        return True
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -193,6 +193,21 @@
             assert status == 502 or (status, received) == (200, body), odd
 
 
+# Guards against a stamp that loses the bytes which are not UTF-8.
+@pytest.mark.parametrize('body', [SHORT_BODY, LONG_BODY], ids=len)
+@pytest.mark.parametrize('prefix', [b'', 'Ñ'.encode(), b'\xc3', b'\xff\xfe'])
+async def test_stamp_reaches_the_caller_unchanged(prefix, body):
+    async with open_caller() as caller:
+        for code in range(0x80, 0x100):
+            stamp = b'%b%c-stamp' % (prefix, code)
+            lines = b'X-Server-Stamp: %b\r\n' % stamp
+            status, headers, received = await caller.ask(
+                encode_answer(body=body, lines=lines)
+            )
+            assert (status, received) == (200, body)
+            assert headers[b'x-server-stamp'] == stamp
+
+
 @pytest.mark.parametrize(
     ('status_line', 'statuses'),
     [
