Log each reader that turns from relays to the store

The line source_silent was written only where a relay answered with old rows, not where it answered 503 or nothing. It is now written wherever the store is asked because the rows are too old, with the relay that was asked last.

--- a/src/currantspur/tasks/failover_store.py
+++ b/src/currantspur/tasks/failover_store.py
@@ -160,8 +160,16 @@
         first, *others = self._list_usable_sources(table)
         yield first
         while others:
-            is_store_due = self._is_too_old(table) and STORE_SOURCE in others
-            source = STORE_SOURCE if is_store_due else others[0]
+            source = others[0]
+            if self._is_too_old(table) and STORE_SOURCE in others:
+                age_s = self.row_ages.measure_s(table, self.clock.now())
+                self.journal.note(
+                    'source_silent',
+                    table=table,
+                    source=self.last_source_by_table[table],
+                    age_s=round(age_s, 3),
+                )
+                source = STORE_SOURCE
             others.remove(source)
             yield source
 
@@ -218,15 +226,8 @@
             wait_s=min(wait_s, longest_s),
             age_s=age_s,
         )
-        answered_at = self.clock.now()
-        self.row_ages.record(table, answered_at - response.age_s)
+        self.row_ages.record(table, self.clock.now() - response.age_s)
         if self._is_too_old(table) and not response.rows_by_key:
-            self.journal.note(
-                'source_silent',
-                table=table,
-                source=source,
-                age_s=round(self.row_ages.measure_s(table, answered_at), 3),
-            )
             raise StoreAwayError('peer: no news of the store')
         return response
 
--- a/src/currantspur/tasks/row_relay.py
+++ b/src/currantspur/tasks/row_relay.py
@@ -90,7 +90,9 @@
 
     __slots__ = ('envelope', 'received_at', 'request')
 
-    def __init__(self, envelope: Envelope, request: RowsRequest, at: float):
+    def __init__(
+        self, envelope: Envelope, request: RowsRequest, at: float
+    ) -> None:
         self.envelope = envelope
         self.request = request
         self.received_at = at
