Read the pace of a target's machine in load reports

Targets of some services add a fourth figure to the load header, the pace of their machine in percent. A header with four figures counted as no report: the queue of the target, and with it what peers are told of warm objects, were lost.

--- a/src/currantspur/decisions/cost_model.py
+++ b/src/currantspur/decisions/cost_model.py
@@ -102,7 +102,7 @@
         candidate.rank = rank
         state = candidate.state
         slots = state.target.slots
-        latency_ratio = state.latency_ratio(at)
+        latency_ratio = state.latency_ratio(at) * state.pace.current(at)
         # All instances send an object to the first target in its order. That
         # target is probably warm, even in a region to which this instance has
         # sent nothing yet. Without an object all targets but newcomers have
--- /dev/null
+++ b/src/currantspur/decisions/decay.py
@@ -0,0 +1,6 @@
+"""Let old measurements fade."""
+
+
+def decay(amount: float, seconds: float, half_life_s: float) -> float:
+    """Return an amount that halves in each half-life; ages are not negative."""
+    return float(amount * 0.5 ** (max(0.0, seconds) / half_life_s))
--- a/src/currantspur/decisions/target_state.py
+++ b/src/currantspur/decisions/target_state.py
@@ -2,6 +2,8 @@
 
 from collections import OrderedDict
 
+from currantspur.decisions.decay import decay
+from currantspur.decisions.machine_pace import MachinePace
 from currantspur.decisions.rate_share import RateShare
 from currantspur.messages import Target, TargetLoad
 
@@ -43,6 +45,7 @@
         'others_in_flight',
         'others_in_flight_at',
         'own_in_flight',
+        'pace',
         'rate_share',
         'target',
         'unreached_attempts',
@@ -69,6 +72,8 @@
         self.unreached_attempts = 0
         self.last_latency_ratio = 1.0
         self.latency_ratio_at = at
+        # Applies on top of the latency ratio, which is the target's own.
+        self.pace = MachinePace(at)
         # Counted from when the row was read, which may be later than when the
         # target wrote it.
         self.cold_until = at + target.cold_remaining_s
@@ -125,7 +130,7 @@
 
     def in_flight(self, at: float) -> float:
         """Return the estimated number of requests that it runs or queues."""
-        return self.own_in_flight + _decay(
+        return self.own_in_flight + decay(
             self.others_in_flight,
             at - self.others_in_flight_at,
             OTHERS_HALF_LIFE_S,
@@ -133,7 +138,7 @@
 
     def failure_score(self, at: float) -> float:
         """Return the decayed number of recent failures."""
-        return _decay(
+        return decay(
             self.last_failure_score,
             at - self.failure_score_at,
             FAILURE_HALF_LIFE_S,
@@ -144,7 +149,7 @@
 
         The excess over 1 decays with FAILURE_HALF_LIFE_S.
         """
-        excess = _decay(
+        excess = decay(
             self.last_latency_ratio - 1.0,
             at - self.latency_ratio_at,
             FAILURE_HALF_LIFE_S,
@@ -156,6 +161,7 @@
 
         Own requests are subtracted by the own count, which is more exact.
         """
+        self.pace.record(load.pace, at)
         total = load.running + load.queued
         self._set_others_in_flight(max(0.0, total - self.own_in_flight), at)
 
@@ -204,7 +210,3 @@
     state.warm_keys.move_to_end(object_key)
     if len(state.warm_keys) > MAX_WARM_KEYS:
         state.warm_keys.popitem(last=False)
-
-
-def _decay(amount: float, seconds: float, half_life_s: float) -> float:
-    return float(amount * 0.5 ** (max(0.0, seconds) / half_life_s))
--- a/src/currantspur/messages/targets.py
+++ b/src/currantspur/messages/targets.py
@@ -48,11 +48,18 @@
 
 
 class TargetLoad(Message):
-    """Requests running and queued at a target, as it reported them."""
+    """Requests running and queued at a target, as it reported them.
 
-    __slots__ = ('queued', 'running', 'slots')
+    ``pace`` is how long work takes on its machine at the moment, as a multiple
+    of the usual time.
+    """
+
+    __slots__ = ('pace', 'queued', 'running', 'slots')
 
-    def __init__(self, *, running: int, queued: int, slots: int) -> None:
+    def __init__(
+        self, *, running: int, queued: int, slots: int, pace: float = 1.0
+    ) -> None:
+        self.pace = pace
         self.running = running
         self.queued = queued
         self.slots = slots
--- a/src/currantspur/pipelines/placement_state.py
+++ b/src/currantspur/pipelines/placement_state.py
@@ -101,7 +101,12 @@
             return
         zone = assignment.target.availability_zone
         round_trip_s = self.topology.round_trip_s(zone)
-        work_s = max(MIN_WORK_S, at - assignment.assigned_at - round_trip_s)
+        # The load of the machine must not change what is learned of the work.
+        work_s = max(
+            MIN_WORK_S,
+            (at - assignment.assigned_at - round_trip_s)
+            / target_state.pace.current(at),
+        )
         times = self.work_times_for(assignment.request)
         # Requests of another instance may have warmed the target.
         is_warm = assignment.is_warm or times.looks_warm(work_s)
--- a/src/currantspur/wire/targets.py
+++ b/src/currantspur/wire/targets.py
@@ -64,8 +64,10 @@
     'Accept-Encoding',
     'Content-Type',
 )
-# Fields of the load header: running, queued, slots.
-LOAD_FIELD_COUNT = 3
+# Fields of the load header: running, queued, slots, and mostly the pace of the
+# machine in percent.
+LOAD_FIELD_COUNTS = frozenset((3, 4))
+USUAL_PACE_PERCENT = 100
 # A larger count is a mistake; hundreds of digits do not fit into a float.
 MAX_COUNT_DIGITS = 6
 
@@ -282,12 +284,18 @@
 
 
 def parse_load(header: str | None) -> TargetLoad | None:
-    """Parse `running,queued,slots`; return None if absent or malformed."""
+    """Parse `running,queued,slots[,pace]`; return None if malformed."""
     counts = (header or '').split(',')
-    if len(counts) != LOAD_FIELD_COUNT or not all(map(_is_count, counts)):
+    if len(counts) not in LOAD_FIELD_COUNTS or not all(map(_is_count, counts)):
         return None
-    running, queued, slots = map(int, counts)
-    return TargetLoad(running=running, queued=queued, slots=slots)
+    running, queued, slots, *paces = map(int, counts)
+    pace_percent = paces[0] if paces else USUAL_PACE_PERCENT
+    return TargetLoad(
+        running=running,
+        queued=queued,
+        slots=slots,
+        pace=(pace_percent or USUAL_PACE_PERCENT) / USUAL_PACE_PERCENT,
+    )
 
 
 def parse_decimal(header: str | None) -> float | None:
