--- a/src/currantspur/state_metrics.py
+++ b/src/currantspur/state_metrics.py
@@ -11,6 +11,9 @@
 )
 from currantspur.wire.metrics import Metrics
 
+# From this pace on the load of a machine is noticed beside the spread of work.
+SLOWED_PACE = 1.3
+
 
 def register_state_metrics(
     metrics: Metrics,
@@ -82,6 +85,14 @@
             for state in states.values()
         ),
     )
+    metrics.add_gauge(
+        'targets_slowed',
+        'Targets whose machines are slowed by other programs.',
+        lambda: sum(
+            state.pace.current(clock.now()) > SLOWED_PACE
+            for state in states.values()
+        ),
+    )
     metrics.add_gauge(
         'target_slots',
         'Slots of all targets.',
