Keep idle connections to targets as long as they allow

Idle connections were closed after 4 s although targets keep them for 10 s, and each request that may run only once closed its connection afterwards. New connections cost a round trip and are counted.

Connections are now kept for 9 s, or for the time announced in `Keep-Alive: timeout=N` less 1 s, at most 30 s. A connection that was opened for a request that may run only once joins the pool afterwards; such a request itself still gets a new one. At most 383 connections are idle, the longest idle one is closed first. An idle connection that is closed leaves the pool at once; aiohttp would keep the object until the next request to that target.

Tests on loopback: a connection idle for 5 s is reused, one of a target that announces 3 s is reused after 1.5 s and not after 2.2 s.

--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -106,7 +106,7 @@
             journal=self.journal,
         )
         self.row_relay = RowRelay(clock=self.clock)
-        self.target_client = HttpTargetClient(PLATFORM_NAMES)
+        self.target_client = HttpTargetClient(PLATFORM_NAMES, self.metrics)
         self.admission = AdmissionTask(
             clock=self.clock, instance=settings.instance, journal=self.journal
         )
--- a/src/currantspur/wire/metrics.py
+++ b/src/currantspur/wire/metrics.py
@@ -20,6 +20,7 @@
         'request_seconds',
         'requests',
         'store_calls',
+        'target_connections',
     )
 
     def __init__(self) -> None:
@@ -52,6 +53,12 @@
             ('kind', 'outcome'),
             registry=self.registry,
         )
+        self.target_connections = Counter(
+            'currantspur_target_connections',
+            'Requests to targets by whether their connection was new.',
+            ('kind',),
+            registry=self.registry,
+        )
         self.request_seconds = Histogram(
             'currantspur_request_seconds',
             'Seconds from the arrival of a request to its end.',
--- a/src/currantspur/wire/targets.py
+++ b/src/currantspur/wire/targets.py
@@ -4,8 +4,6 @@
 from collections.abc import AsyncGenerator, AsyncIterator
 from http import HTTPStatus
 from math import isfinite
-from types import SimpleNamespace
-from typing import Any
 
 import aiohttp
 
@@ -25,8 +23,7 @@
     TargetSignals,
 )
 from currantspur.tasks.ports import TargetPort
-from currantspur.wire.bounded_connections import BoundedConnector
-from currantspur.wire.client_middleware import disable_automatic_retry
+from currantspur.wire.metrics import Metrics
 from currantspur.wire.names import (
     CONTENT_LENGTH,
     RETRY_AFTER_HEADER,
@@ -34,7 +31,7 @@
     filter_forwarded_headers,
 )
 from currantspur.wire.response_heads import find_head_fault
-from currantspur.wire.sockets import open_keepalive_socket
+from currantspur.wire.target_sessions import ConnectionTrace, TargetSessions
 
 MS_PER_S = 1000
 CHUNK_BYTES = 65_536
@@ -46,8 +43,6 @@
 # A connection opens within one round trip; a target that is down never
 # responds.
 CONNECT_TIMEOUT_S = 0.35
-# Targets close idle connections after a few seconds, and announce when.
-KEEPALIVE_TIMEOUT_S = 4.0
 # Each tells a caller that its request did not run.
 NOT_RUN_STATUSES = frozenset(
     (
@@ -57,13 +52,6 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
     )
 )
-# Headers that aiohttp would add to requests that lack them.
-SUPPRESSED_AUTO_HEADERS = (
-    'User-Agent',
-    'Accept',
-    'Accept-Encoding',
-    'Content-Type',
-)
 # Fields of the load header: running, queued, slots, and mostly the pace of the
 # machine in percent.
 LOAD_FIELD_COUNTS = frozenset((3, 4))
@@ -72,27 +60,16 @@
 MAX_COUNT_DIGITS = 6
 
 
-class ConnectionTrace:
-    """Record whether a request got a connection.
-
-    If it did, bytes of it may have been sent.
-    """
-
-    __slots__ = ('connected',)
-
-    def __init__(self) -> None:
-        self.connected = False
-
-
 class HttpTargetClient(TargetPort):
     """Send requests to targets over pooled or single-use connections."""
 
-    __slots__ = ('names', 'pooled_session', 'single_use_session')
+    __slots__ = ('names', 'sessions')
 
-    def __init__(self, names: ProtocolNames) -> None:
+    def __init__(
+        self, names: ProtocolNames, metrics: Metrics | None = None
+    ) -> None:
         self.names = names
-        self.pooled_session = _open_session(force_close=False)
-        self.single_use_session = _open_session(force_close=True)
+        self.sessions = TargetSessions(metrics or Metrics())
 
     async def send(
         self,
@@ -106,14 +83,12 @@
     ) -> AsyncGenerator[ResponseHead | ResponseChunk]:
         """Yield the response; raise TargetError if it fails or is truncated.
 
-        With `new_connection`, the request gets a connection of its own, so it
-        is certain whether any byte was sent.
+        With `new_connection`, the request gets a connection that carried no
+        other before, so it is certain whether any byte was sent.
         """
         trace = ConnectionTrace()
         headers = self._make_headers(target, outgoing_request, team, timeout_s)
-        session = (
-            self.single_use_session if new_connection else self.pooled_session
-        )
+        session = self.sessions.choose(new_connection=new_connection)
         try:
             async with session.request(
                 outgoing_request.method,
@@ -143,8 +118,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self.pooled_session.close()
-        await self.single_use_session.close()
+        await self.sessions.close()
 
     def _make_headers(
         self,
@@ -315,33 +289,6 @@
     return text.isascii() and text.isdecimal()
 
 
-def _open_session(*, force_close: bool) -> aiohttp.ClientSession:
-    trace = aiohttp.TraceConfig()
-    trace.on_connection_create_end.append(_record_connection)
-    trace.on_connection_reuseconn.append(_record_connection)
-    reuse_options: dict[str, Any] = (
-        {'force_close': True}
-        if force_close
-        else {'keepalive_timeout': KEEPALIVE_TIMEOUT_S}
-    )
-    return aiohttp.ClientSession(
-        connector=BoundedConnector(
-            socket_factory=open_keepalive_socket, **reuse_options
-        ),
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        middlewares=(disable_automatic_retry,),
-        skip_auto_headers=SUPPRESSED_AUTO_HEADERS,
-        trace_configs=[trace],
-    )
-
-
-async def _record_connection(
-    _session: aiohttp.ClientSession, context: SimpleNamespace, _params: Any
-) -> None:
-    context.trace_request_ctx.connected = True
-
-
 def _make_timeout(timeout_s: float) -> aiohttp.ClientTimeout:
     total_s = max(timeout_s, MIN_TIMEOUT_S)
     return aiohttp.ClientTimeout(
