Learn a shorter idle time from targets that close early

Some targets close or reset idle connections before the time that they announce, or before the usual 10 s. A request that meets the close fails and costs a retry.

Connections that the instance closes itself teach nothing.

--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -106,7 +106,9 @@
             journal=self.journal,
         )
         self.row_relay = RowRelay(clock=self.clock)
-        self.target_client = HttpTargetClient(PLATFORM_NAMES, self.metrics)
+        self.target_client = HttpTargetClient(
+            PLATFORM_NAMES, self.metrics, self.journal
+        )
         self.admission = AdmissionTask(
             clock=self.clock, instance=settings.instance, journal=self.journal
         )
--- a/src/currantspur/wire/pooled_connections.py
+++ b/src/currantspur/wire/pooled_connections.py
@@ -16,8 +16,10 @@
 from currantspur.decisions.idle_connections import (
     MAX_IDLE_CONNECTIONS,
     MAX_IDLE_S,
-    choose_idle_s,
+    MAX_RESET_S,
+    IdleTimes,
 )
+from currantspur.tasks.journal import Journal
 from currantspur.wire.bounded_connections import (
     BoundedConnector,
     BoundedResponseHandler,
@@ -41,8 +43,13 @@
         self.on_lost = on_lost
         # Idle timeout that the target announced in its latest response.
         self.announced_idle_s: float | None = None
+        # Where it leads to, once it has been idle.
+        self.address = ''
+        self.idle_since = 0.0
+        # None while a request uses the connection.
         self.idle_until: float | None = None
         self.idle_timer: asyncio.TimerHandle | None = None
+        self.reused_at: float | None = None
 
     def is_connected(self) -> bool:
         """Tell whether a request may be sent on the connection.
@@ -68,16 +75,17 @@
             )
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """End the idle time and tell the connector."""
-        self.end_idle_time()
+        """Tell the connector and end the idle time."""
         self.on_lost(self)
+        self.end_idle_time()
         super().connection_lost(exc)
 
     def start_idle_time(
         self, idle_s: float, on_end: Callable[[], None]
     ) -> None:
         """Set how long the connection may be idle; call back after that."""
-        self.idle_until = self._loop.time() + idle_s
+        self.idle_since = self._loop.time()
+        self.idle_until = self.idle_since + idle_s
         self.idle_timer = self._loop.call_later(idle_s, on_end)
 
     def end_idle_time(self) -> None:
@@ -87,21 +95,43 @@
             self.idle_timer.cancel()
             self.idle_timer = None
 
+    def start_reuse(self) -> None:
+        """Begin the next exchange on an idle connection."""
+        self.end_idle_time()
+        self.reused_at = self._loop.time()
+
+    def measure_early_close_s(self, at: float) -> float | None:
+        """Return how long it was idle when the target closed it too early.
+
+        None if it was not idle, or the target did not close it. A target that
+        closed it unseen resets it at the next request.
+        """
+        if self.idle_until is not None:
+            return at - self.idle_since if at < self.idle_until else None
+        if self.reused_at is None or at > self.reused_at + MAX_RESET_S:
+            return None
+        # aiohttp drops the transport of a connection that it closes itself.
+        is_closed_here = self.transport is None
+        if is_closed_here or self.received_bytes:
+            return None
+        return self.reused_at - self.idle_since
+
 
 class PooledConnector(BoundedConnector):
     """Reuse connections; close the longest idle ones beyond a bound."""
 
-    def __init__(
-        self, *, max_idle: int = MAX_IDLE_CONNECTIONS, **options: Any
-    ) -> None:
+    def __init__(self, *, journal: Journal | None, **options: Any) -> None:
+        """Log to the journal, if any, which targets close early."""
         super().__init__(keepalive_timeout=MAX_IDLE_S, **options)
-        self.max_idle = max_idle
+        self.journal = journal
+        self.max_idle = MAX_IDLE_CONNECTIONS
+        self.idle_times = IdleTimes()
         # Idle connections, the longest idle one first.
         self.idle: OrderedDict[PooledResponseHandler, ConnectionKey] = (
             OrderedDict()
         )
         self.handler_factory = partial(
-            PooledResponseHandler, asyncio.get_running_loop(), self._discard
+            PooledResponseHandler, asyncio.get_running_loop(), self._handle_loss
         )
         self._factory = cast('partial[ResponseHandler]', self.handler_factory)
 
@@ -124,7 +154,7 @@
             # An idle protocol is falsy: compare it with None.
             if isinstance(protocol, PooledResponseHandler):
                 self.idle.pop(protocol, None)
-                protocol.end_idle_time()
+                protocol.start_reuse()
         return connection
 
     def _release(
@@ -144,7 +174,12 @@
     def _keep(
         self, key: ConnectionKey, protocol: PooledResponseHandler
     ) -> None:
-        idle_s = choose_idle_s(protocol.announced_idle_s)
+        protocol.address = f'{key.host}:{key.port}'
+        idle_s = self.idle_times.choose_s(
+            protocol.address,
+            announced_s=protocol.announced_idle_s,
+            at=self._loop.time(),
+        )
         self.idle[protocol] = key
         protocol.start_idle_time(idle_s, partial(self._close_idle, protocol))
         if idle_s <= 0:
@@ -157,6 +192,24 @@
         protocol.end_idle_time()
         protocol.close()
 
+    def _handle_loss(self, protocol: PooledResponseHandler) -> None:
+        """Learn from a connection that was closed, and discard it."""
+        self._discard(protocol)
+        at = self._loop.time()
+        idle_s = protocol.measure_early_close_s(at)
+        if idle_s is None or self._closed:
+            return
+        is_new = self.idle_times.record_early_close(
+            protocol.address, idle_s=idle_s, at=at
+        )
+        if is_new and self.journal is not None:
+            self.journal.note(
+                'connection_closed_early',
+                address=protocol.address,
+                idle_s=round(idle_s, 3),
+                announced_s=protocol.announced_idle_s,
+            )
+
     def _discard(self, protocol: PooledResponseHandler) -> None:
         """Remove a connection from the pool, if it is there.
 
--- a/src/currantspur/wire/target_sessions.py
+++ b/src/currantspur/wire/target_sessions.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from currantspur.tasks.journal import Journal
 from currantspur.wire.bounded_connections import BoundedConnector
 from currantspur.wire.client_middleware import disable_automatic_retry
 from currantspur.wire.metrics import Metrics
@@ -40,9 +41,21 @@
 
     __slots__ = ('metrics', 'pool', 'pooled', 'single_use')
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(self, metrics: Metrics, journal: Journal | None) -> None:
         self.metrics = metrics
-        self.pool = PooledConnector(socket_factory=open_keepalive_socket)
+        self.pool = PooledConnector(
+            journal=journal, socket_factory=open_keepalive_socket
+        )
+        metrics.add_gauge(
+            'target_connections_idle',
+            'Idle connections to targets.',
+            lambda: len(self.pool.idle),
+        )
+        metrics.add_gauge(
+            'targets_closing_early',
+            'Targets that closed idle connections before their time.',
+            lambda: len(self.pool.idle_times.learned),
+        )
         self.pooled = self._open(self.pool)
         self.single_use = self._open(
             SingleUseConnector(self.pool, socket_factory=open_keepalive_socket)
--- a/src/currantspur/wire/targets.py
+++ b/src/currantspur/wire/targets.py
@@ -22,6 +22,7 @@
     TargetLoad,
     TargetSignals,
 )
+from currantspur.tasks.journal import Journal
 from currantspur.tasks.ports import TargetPort
 from currantspur.wire.metrics import Metrics
 from currantspur.wire.names import (
@@ -66,10 +67,13 @@
     __slots__ = ('names', 'sessions')
 
     def __init__(
-        self, names: ProtocolNames, metrics: Metrics | None = None
+        self,
+        names: ProtocolNames,
+        metrics: Metrics | None = None,
+        journal: Journal | None = None,
     ) -> None:
         self.names = names
-        self.sessions = TargetSessions(metrics or Metrics())
+        self.sessions = TargetSessions(metrics or Metrics(), journal)
 
     async def send(
         self,
