Explain where a request would go by the filters that place it

Operators see a decision only after a request was sent, in the log. The admission task and the dispatcher now answer queries: the filters of a request run on copies of the state that they write, with an observer that records what each filter leaves out and the terms of each cost.

--- a/src/currantspur/decisions/cost_model.py
+++ b/src/currantspur/decisions/cost_model.py
@@ -1,5 +1,7 @@
 """Estimate the cost in seconds of sending a request to each target."""
 
+from collections.abc import Mapping
+
 from currantspur.decisions.affinity import rendezvous_weight
 from currantspur.decisions.target_state import TargetState
 from currantspur.decisions.topology import CROSS_REGION_RTT_S, Topology
@@ -31,6 +33,7 @@
 
     __slots__ = (
         'cost_s',
+        'cost_terms',
         'expected_s',
         'in_flight',
         'is_warm',
@@ -47,6 +50,8 @@
         self.wait_s = 0.0
         self.expected_s = 0.0
         self.cost_s = 0.0
+        # Seconds by name; their sum is the cost.
+        self.cost_terms: Mapping[str, float] = {}
 
     @property
     def is_free(self) -> bool:
@@ -66,6 +71,11 @@
         """Tell whether it would probably reject a request."""
         return self.in_flight >= QUEUE_FACTOR * self.state.target.slots
 
+    def add_up_cost(self, cost_terms: Mapping[str, float]) -> None:
+        """Set the terms of the cost, in seconds, and their sum."""
+        self.cost_terms = cost_terms
+        self.cost_s = sum(cost_terms.values())
+
 
 class CostModel:
     """Estimate costs as seen from the availability zone of this instance."""
@@ -125,16 +135,23 @@
         may_warm_up = candidate.is_free and round_trip_s < CROSS_REGION_RTT_S
         if sends_warmups and may_warm_up and state.needs_warmup(at):
             # A target that joined would stay cold forever without requests.
-            candidate.cost_s = (
-                JOINED_COST_FACTOR * work_times.warm_work_s + failure_cost_s
+            candidate.add_up_cost(
+                {
+                    'joined_s': JOINED_COST_FACTOR * work_times.warm_work_s,
+                    'failures_s': failure_cost_s,
+                }
             )
             return
-        candidate.cost_s = (
-            candidate.expected_s
-            + work_s * WARMUP_COST_FACTOR * (not assumed_warm)
-            + self._traffic_cost_s(state)
-            + rank * RANK_COST_FACTOR * work_times.cold_work_s
-            + failure_cost_s
+        candidate.add_up_cost(
+            {
+                'round_trip_s': round_trip_s,
+                'wait_s': candidate.wait_s,
+                'work_s': work_s,
+                'warmup_s': work_s * WARMUP_COST_FACTOR * (not assumed_warm),
+                'traffic_s': self._traffic_cost_s(state),
+                'order_s': rank * RANK_COST_FACTOR * work_times.cold_work_s,
+                'failures_s': failure_cost_s,
+            }
         )
 
     def _traffic_cost_s(self, state: TargetState) -> float:
--- a/src/currantspur/decisions/routing.py
+++ b/src/currantspur/decisions/routing.py
@@ -21,13 +21,20 @@
         Port, letter case of the host and query are ignored. Return None if no
         route matches.
         """
-        bare_host = host.lower().partition(':')[0]
         bare_path = path.partition('?')[0]
-        for route in self.by_host.get(bare_host, ()):
+        for route in self.by_host.get(_strip_port(host), ()):
             if bare_path.startswith(route.path_prefix):
                 return route
         return None
 
+    def has_host(self, host: str) -> bool:
+        """Tell whether any route has the host."""
+        return _strip_port(host) in self.by_host
+
+
+def _strip_port(host: str) -> str:
+    return host.lower().partition(':')[0]
+
 
 def _prefix_length(route: Route) -> int:
     return len(route.path_prefix)
--- a/src/currantspur/pipelines/admission.py
+++ b/src/currantspur/pipelines/admission.py
@@ -10,7 +10,12 @@
 from currantspur.decisions.rate_share import RateShare
 from currantspur.decisions.routing import RouteTable
 from currantspur.decisions.splitting import Splitter
-from currantspur.messages import IncomingRequest, Refusal, RequestContext
+from currantspur.messages import (
+    IncomingRequest,
+    Refusal,
+    RequestContext,
+    Team,
+)
 from currantspur.pipelines.filter import AdmissionCheck, Filter, Pipeline
 
 # Callers retry soon if an instance has no configuration yet: it reads one
@@ -136,7 +141,7 @@
             or not self.state.api_key_index.requires_key
         ):
             return None
-        team = self.state.api_key_index.find(key)
+        team = self.find_team(key)
         if team is None:
             return Refusal(
                 code='key_unknown', detail='the key is unknown or withdrawn'
@@ -147,6 +152,10 @@
         )
         return None
 
+    def find_team(self, key: str | None) -> Team | None:
+        """Return the team that owns the key of a request, or None."""
+        return self.state.api_key_index.find(key)
+
 
 class LimitRate(AdmissionCheck):
     """Limit the requests of a team to this instance's part of its rate.
@@ -192,13 +201,18 @@
             yield context
 
 
-def assemble_admission(state: AdmissionState) -> Pipeline:
-    """Return the pipeline that requests pass before placement."""
+def assemble_admission(
+    state: AdmissionState, identify_team: IdentifyTeam | None = None
+) -> Pipeline:
+    """Return the pipeline that requests pass before placement.
+
+    By default a request is of the team whose key it carries.
+    """
     return Pipeline(
         CreateContext(state),
         RequireConfiguration(),
         MatchRoute(state),
-        IdentifyTeam(state),
+        identify_team or IdentifyTeam(state),
         LimitRate(state),
         PickService(state),
     )
--- a/src/currantspur/pipelines/placement.py
+++ b/src/currantspur/pipelines/placement.py
@@ -13,6 +13,10 @@
 from currantspur.decisions.target_limits import TargetLimits
 from currantspur.decisions.target_state import TargetState
 from currantspur.messages import PlacementRequest
+from currantspur.pipelines.placement_observer import (
+    UNOBSERVED,
+    PlacementObserver,
+)
 from currantspur.pipelines.placement_state import PlacementState
 from currantspur.pipelines.target_filters import (
     TargetStates,
@@ -127,12 +131,20 @@
 
 
 def filter_eligible(
-    states: TargetStates, request: PlacementRequest, state: PlacementState
-) -> Iterator[TargetState]:
+    states: TargetStates,
+    request: PlacementRequest,
+    state: PlacementState,
+    observer: PlacementObserver = UNOBSERVED,
+) -> TargetStates:
     """Leave out targets that may not run a request, whatever their load."""
-    states = without_draining(states, state.signals)
-    states = without_evacuated(states, state.evacuated_zones)
-    return within_home_regions(states, request.home_regions, state.topology)
+    states = observer.watch('leaving', without_draining(states, state.signals))
+    states = observer.watch(
+        'evacuated_zone', without_evacuated(states, state.evacuated_zones)
+    )
+    return observer.watch(
+        'home_region',
+        within_home_regions(states, request.home_regions, state.topology),
+    )
 
 
 def list_eligible(
@@ -149,12 +161,14 @@
     request: PlacementRequest,
     state: PlacementState,
     at: float,
+    observer: PlacementObserver = UNOBSERVED,
 ) -> list[Candidate]:
     """Return the targets that may run a request in time, with costs."""
-    states = within_rate(
-        filter_eligible(states, request, state), state.target_limits, at
+    eligible = filter_eligible(states, request, state, observer)
+    states = observer.watch(
+        'target_rate', within_rate(eligible, state.target_limits, at)
     )
-    return rank_in_time(states, request, state, at)
+    return rank_in_time(states, request, state, at, observer)
 
 
 def rank_in_time(
@@ -162,14 +176,20 @@
     request: PlacementRequest,
     state: PlacementState,
     at: float,
+    observer: PlacementObserver = UNOBSERVED,
 ) -> list[Candidate]:
     """Return the targets that would respond in time, with costs."""
-    candidates = with_room(with_load(states, request, state, at))
+    candidates = observer.watch(
+        'full', with_room(with_load(states, request, state, at))
+    )
     # Ranked before targets that failed are left out: the next target in the
     # order of the object is not warm because an attempt failed elsewhere.
     candidates = with_costs(candidates, request, state, at)
-    candidates = without_tried(candidates, request.excluded_targets)
-    return list(within_deadline(candidates, request, at))
+    candidates = observer.watch(
+        'tried', without_tried(candidates, request.excluded_targets)
+    )
+    candidates = within_deadline(candidates, request, at)
+    return list(observer.watch('deadline', candidates))
 
 
 def expect_room_s(
@@ -212,7 +232,10 @@
 
 
 def choose_target(
-    request: PlacementRequest, state: PlacementState, at: float
+    request: PlacementRequest,
+    state: PlacementState,
+    at: float,
+    observer: PlacementObserver = UNOBSERVED,
 ) -> Candidate | None:
     """Return the cheapest target that has room and that the limiter allows.
 
@@ -221,11 +244,13 @@
     that the limiter does not allow.
     """
     shortlist = state.shortlists.find(request.service, request.object_key, at)
-    candidates = list_candidates(shortlist, request, state, at)
+    observer.begin_pass('shortlist', shortlist)
+    candidates = list_candidates(shortlist, request, state, at, observer)
     if not candidates:
         everything = state.states_by_service.get(request.service, ())
-        candidates = list_candidates(everything, request, state, at)
-    return _choose_within_limit(candidates, request, state, at)
+        observer.begin_pass('service', everything)
+        candidates = list_candidates(everything, request, state, at, observer)
+    return _choose_within_limit(candidates, request, state, at, observer)
 
 
 def _choose_within_limit(
@@ -233,6 +258,7 @@
     request: PlacementRequest,
     state: PlacementState,
     at: float,
+    observer: PlacementObserver,
 ) -> Candidate | None:
     preferred = find_cheapest(candidates)
     if preferred is None:
@@ -244,6 +270,7 @@
         prefers_cross_region=state.is_cross_region(preferred),
         position=hash_position(request.object_key, request.service),
     )
+    observer.record_shift(preferred, is_cross_region=is_cross_region)
     return find_cheapest(
         candidate
         for candidate in candidates
--- a/src/currantspur/tasks/__init__.py
+++ b/src/currantspur/tasks/__init__.py
@@ -16,6 +16,7 @@
     TargetPort,
 )
 from currantspur.tasks.registrar import Registrar
+from currantspur.tasks.route_explainer import RouteExplainer
 from currantspur.tasks.row_relay import RowRelay
 from currantspur.tasks.table_follower import TableFollower
 from currantspur.tasks.task import Task
@@ -36,6 +37,7 @@
     'Registrar',
     'RelayPort',
     'RequestForwarder',
+    'RouteExplainer',
     'RowRelay',
     'Store',
     'SystemClock',
--- a/src/currantspur/tasks/admission.py
+++ b/src/currantspur/tasks/admission.py
@@ -25,7 +25,12 @@
     Tick,
 )
 from currantspur.messages.revisions import get_version
+from currantspur.messages.route_explanations import (
+    AdmissionExplanation,
+    AdmissionQuery,
+)
 from currantspur.pipelines import AdmissionState, assemble_admission
+from currantspur.pipelines.route_explanation import explain_admission
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.mailbox import Envelope
@@ -40,7 +45,8 @@
     """Run requests through the admission pipeline.
 
     The reply to an IncomingRequest is its RequestContext, the reply to a Tick
-    is the TeamDemand of this instance.
+    is the TeamDemand of this instance, the reply to an AdmissionQuery an
+    AdmissionExplanation.
     """
 
     __slots__ = (
@@ -94,7 +100,7 @@
             envelope.set_reply(context)
 
     def handle_message(self, message: Message) -> Message | None:
-        """Apply an update; return the demand for a Tick, otherwise None."""
+        """Apply an update; return the reply to a Tick or a query, or None."""
         if isinstance(message, ConfigurationUpdate):
             self._apply_configuration(message)
         elif isinstance(message, FleetView):
@@ -102,8 +108,19 @@
             self._update_rate_shares()
         elif isinstance(message, Tick):
             return self._measure_demand()
+        elif isinstance(message, AdmissionQuery):
+            return self._explain(message)
         return None
 
+    def _explain(self, query: AdmissionQuery) -> AdmissionExplanation:
+        explanation = explain_admission(
+            query, self.state, self.configuration.teams
+        )
+        explanation.is_held = self.startup_hold.is_holding(
+            is_ready=self.state.version > 0, at=self.clock.now()
+        )
+        return explanation
+
     def _apply_configuration(self, update: ConfigurationUpdate) -> None:
         configuration = update.configuration
         if configuration.version <= self.state.version:
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -42,6 +42,7 @@
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.mailbox import Envelope
+from currantspur.tasks.placement_queries import PlacementQueries
 from currantspur.tasks.signal_recorder import SignalRecorder
 from currantspur.tasks.startup_hold import StartupHold
 from currantspur.tasks.task import Task
@@ -54,7 +55,8 @@
     """Choose a target for each attempt and learn from its outcome.
 
     The reply to a PlacementRequest is an Assignment or a Refusal, the reply to
-    a Tick is the ServiceLoad of this instance.
+    a Tick is the ServiceLoad of this instance, the reply to a PlacementQuery a
+    PlacementExplanation.
     """
 
     __slots__ = (
@@ -64,6 +66,7 @@
         'handlers',
         'journal',
         'limits',
+        'placement_queries',
         'placement_state',
         'report_collector',
         'retry_budgets',
@@ -91,6 +94,9 @@
         self.placement_state = PlacementState(
             topology, shift_cap=limits.shift_cap, instance_name=instance
         )
+        self.placement_queries = PlacementQueries(
+            self.placement_state, self.startup_hold
+        )
         self.report_collector = ReportCollector()
         self.target_retention = TargetRetention()
         self.evacuated_zones = EvacuatedZones()
@@ -117,7 +123,7 @@
         Requests wait for the first targets, for a short time.
         """
         arrived: list[Envelope] = []
-        for envelope in envelopes:
+        for envelope in self.placement_queries.take_from(envelopes):
             message = envelope.message
             if isinstance(message, PlacementRequest):
                 arrived.append(envelope)
@@ -130,6 +136,7 @@
             self._refresh_targets()
         if self.evacuated_zones.has_expired(now):
             self._refresh_evacuations()
+        self.placement_queries.answer(now)
         for due in self.startup_hold.take_due(
             arrived, is_ready=bool(self.target_states), at=now
         ):
--- a/src/currantspur/tasks/startup_hold.py
+++ b/src/currantspur/tasks/startup_hold.py
@@ -21,6 +21,10 @@
         self.envelopes: list[Envelope] = []
         self.until = started_at + STARTUP_HOLD_S
 
+    def is_holding(self, *, is_ready: bool, at: float) -> bool:
+        """Tell whether requests wait for the first state."""
+        return not is_ready and at < self.until
+
     def take_due(
         self, arrived: Iterable[Envelope], *, is_ready: bool, at: float
     ) -> list[Envelope]:
@@ -31,7 +35,7 @@
         waiting = [
             each for each in (*self.envelopes, *arrived) if each.is_awaited
         ]
-        is_over = is_ready or at >= self.until
-        held_count = 0 if is_over else MAX_HELD_REQUESTS
+        is_held = self.is_holding(is_ready=is_ready, at=at)
+        held_count = MAX_HELD_REQUESTS if is_held else 0
         self.envelopes = waiting[:held_count]
         return waiting[held_count:]
