Add the command route, which asks where a request would go now

`currantspur route ADDRESS` asks a running instance on the path /route of its metrics address and prints the route, the rate, the rank, the targets left out by filter, the costs of the targets compared, the region shift and the refusal. Fields are checked and the answer is bounded on both sides.

--- a/src/currantspur/cli/__init__.py
+++ b/src/currantspur/cli/__init__.py
@@ -6,6 +6,7 @@
     demonstrating,
     experimenting,
     explaining,
+    routing,
     soaking,
 )
 from currantspur.cli.application import app, main
@@ -18,5 +19,6 @@
     'experimenting',
     'explaining',
     'main',
+    'routing',
     'soaking',
 )
--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -37,6 +37,7 @@
     Membership,
     Registrar,
     RequestForwarder,
+    RouteExplainer,
     RowRelay,
     SystemClock,
     TableFollower,
@@ -49,6 +50,7 @@
 from currantspur.wire.metrics import Metrics
 from currantspur.wire.relays import HttpRelayClient, RowRelayHandler
 from currantspur.wire.request_handler import RequestHandler
+from currantspur.wire.route_handler import RouteHandler
 from currantspur.wire.server import (
     Handler,
     Server,
@@ -228,7 +230,7 @@
         endpoints: tuple[tuple[Handler, str], ...] = (
             (lookup_handler.handle, settings.directory),
             (lookup_handler.handle, settings.ready),
-            (self.metrics.handle_scrape, settings.metrics),
+            (self._create_route_handler().handle, settings.metrics),
             (self._create_relay_handler().handle, settings.peer),
         )
         self.servers.append(
@@ -291,6 +293,18 @@
         )
         self.followers.add(follower)
 
+    def _create_route_handler(self) -> RouteHandler:
+        forwarder = self.request_handler.forwarder
+        return RouteHandler(
+            explainer=RouteExplainer(
+                admission=self.admission.mailbox,
+                dispatcher=self.dispatcher.mailbox,
+                get_end=lambda: forwarder.ends_at,
+            ),
+            clock=self.clock,
+            fallback=self.metrics.handle_scrape,
+        )
+
     def _create_relay_handler(self) -> RowRelayHandler:
         return RowRelayHandler(
             self.row_relay.mailbox,
--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -63,6 +63,14 @@
     """The mailbox of a task is full; the message was not queued."""
 
 
+class RouteQueryError(CurrantspurError):
+    """A question where a request would go is malformed."""
+
+
+class NoAnswerError(CurrantspurError):
+    """An instance gave no usable answer to a question."""
+
+
 class BodyCutError(CurrantspurError):
     """A caller disconnected before its request body was complete."""
 
--- a/src/currantspur/wire/responses.py
+++ b/src/currantspur/wire/responses.py
@@ -54,16 +54,20 @@
     return web.Response(status=head.status, headers=headers, body=head.body)
 
 
-def encode_refusal(
-    refusal: Refusal, request_id: str, names: ProtocolNames
-) -> web.Response:
-    """Return a refusal as JSON, in the form of docs/INTERFACE.md.
+def find_refusal_status(refusal: Refusal) -> int:
+    """Return the status of a refusal.
 
     A passed deadline has status 503 instead of 504 if the request did not run.
     """
-    status = STATUS_BY_REFUSAL_CODE[refusal.code]
     if refusal.code == 'deadline_passed' and refusal.not_run:
-        status = DEADLINE_NOT_RUN_STATUS
+        return DEADLINE_NOT_RUN_STATUS
+    return STATUS_BY_REFUSAL_CODE[refusal.code]
+
+
+def encode_refusal(
+    refusal: Refusal, request_id: str, names: ProtocolNames
+) -> web.Response:
+    """Return a refusal as JSON, in the form of docs/INTERFACE.md."""
     headers = {names.request_id_header: request_id}
     if refusal.retry_after_s is not None:
         headers[RETRY_AFTER_HEADER] = f'{refusal.retry_after_s:.3f}'
@@ -76,7 +80,7 @@
         }
     }
     return web.Response(
-        status=status,
+        status=find_refusal_status(refusal),
         body=orjson.dumps(body),
         content_type='application/json',
         headers=headers,
