Compare the explanation of a stopping instance, too

The answer names the status of a refusal once, for the whole request. The end of the instance reaches the query through the forwarder, as it does for a request: a table row guards against an answer that ignores it.

--- a/src/currantspur/wire/route_handler.py
+++ b/src/currantspur/wire/route_handler.py
@@ -21,7 +21,10 @@
     Route,
     fields,
 )
-from currantspur.messages.route_explanations import RouteExplanation
+from currantspur.messages.route_explanations import (
+    PlacementExplanation,
+    RouteExplanation,
+)
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.route_explainer import RouteExplainer
 from currantspur.wire.responses import find_refusal_status
@@ -144,7 +147,7 @@
         'rate': admission.rate,
         'home_regions': sorted(context.home_regions),
         'service': context.service or None,
-        'placement': placement,
+        'placement': _describe_placement(placement),
         'refusal': _describe_refusal(explanation.refusal),
     }
     return orjson.dumps(to_plain(document))
@@ -178,6 +181,19 @@
     }
 
 
+def _describe_placement(
+    placement: PlacementExplanation | None,
+) -> dict[str, Any] | None:
+    if placement is None:
+        return None
+    # Those are of the whole answer.
+    return {
+        name: described
+        for name, described in fields(placement)
+        if name not in {'is_held', 'refusal'}
+    }
+
+
 def _find_timeout_s(explanation: RouteExplanation) -> float | None:
     context = explanation.admission.context
     if context.route is None:
--- a/tests/test_route_explanation.py
+++ b/tests/test_route_explanation.py
@@ -91,6 +91,7 @@
 
     def __init__(self, targets):
         self.clock = VirtualClock()
+        self.ends_at = float('inf')
         journal = Journal(sink=NullSink(), clock=self.clock)
         self.admission = AdmissionTask(
             clock=self.clock, instance='own', journal=journal
@@ -146,7 +147,7 @@
         explainer = RouteExplainer(
             admission=AnsweringMailbox(self.admission),
             dispatcher=AnsweringMailbox(self.dispatcher),
-            get_end=lambda: float('inf'),
+            get_end=lambda: self.ends_at,
         )
         request = self.make_request(route, **overrides)
         return await explainer.explain(request, team)
@@ -159,7 +160,7 @@
         if context.refusal is not None:
             return context, context.refusal
         explainer = RouteExplainer(
-            admission=None, dispatcher=None, get_end=lambda: float('inf')
+            admission=None, dispatcher=None, get_end=lambda: self.ends_at
         )
         query = explainer._make_query(context)
         return context, await AnsweringMailbox(self.dispatcher).ask(
@@ -244,6 +245,10 @@
     instance.set_targets(make_targets('s', 3, cold_remaining_s=9.0), 2)
 
 
+def stop(instance):
+    instance.ends_at = 0.2
+
+
 def do_nothing(_instance):
     """Leave the instance as it starts."""
 
@@ -294,6 +299,7 @@
         ),
         (evacuate, 'open', {}, 2, {None}, {'evacuated_zone'}),
         (drain, 'open', {}, 1, {'no_target'}, {'leaving'}),
+        (stop, 'open', {}, 1, {'not_ready'}, {'deadline'}),
         (cool, 'open', {}, 20, {None, 'no_room'}, {'target_rate'}),
     ],
 )
