Learn how many objects targets keep warm

An instance remembered 128 objects for each target, although targets keep 8 to 27. Most objects that it took for warm had been dropped.

A response believed warm that took as long as cold work, on a free slot and without a queue, shows that the target dropped the object. From the number of other objects used since, the limit is chosen that would have described most responses rightly. It is learned for a service, whose targets are alike: one target is met too seldom. It starts at 128, is at least 4 and can grow.

--- a/src/currantspur/decisions/target_state.py
+++ b/src/currantspur/decisions/target_state.py
@@ -1,10 +1,9 @@
 """Track the state of one target from its responses and reported load."""
 
-from collections import OrderedDict
-
 from currantspur.decisions.decay import decay
 from currantspur.decisions.machine_pace import MachinePace
 from currantspur.decisions.rate_share import RateShare
+from currantspur.decisions.warm_objects import WarmObjects
 from currantspur.messages import Target, TargetLoad
 
 # Without news, the estimate of the requests that other instances have in flight
@@ -19,7 +18,6 @@
 LATENCY_RATIO_SMOOTHING = 0.3
 MAX_LATENCY_RATIO = 20.0
 MIN_LATENCY_RATIO = 0.5
-MAX_WARM_KEYS = 128
 # A target that rejects a request holds at least this many requests per slot.
 # They are counted as requests of other instances and alone do not make it full
 # (QUEUE_FACTOR): it stays a candidate, at a higher cost.
@@ -80,7 +78,7 @@
         # The part of its rate for this instance, while it is cold or limited.
         self.rate_share: RateShare | None = None
         self.warmup_sent_at = float('-inf')
-        self.warm_keys: OrderedDict[str, None] = OrderedDict()
+        self.warm_keys = WarmObjects()
 
     def update_target(self, target: Target, at: float) -> None:
         """Replace the row of the target.
@@ -206,7 +204,4 @@
 
 def add_warm_key(state: TargetState, object_key: str) -> None:
     """Mark a target as warm for an object."""
-    state.warm_keys[object_key] = None
-    state.warm_keys.move_to_end(object_key)
-    if len(state.warm_keys) > MAX_WARM_KEYS:
-        state.warm_keys.popitem(last=False)
+    state.warm_keys.add(object_key)
--- a/src/currantspur/decisions/work_time.py
+++ b/src/currantspur/decisions/work_time.py
@@ -13,6 +13,9 @@
 # The mean of cold and warm work follows the share of cold objects: after a
 # start or a release it changes within a few requests.
 MEAN_SMOOTHING_FACTOR = 0.2
+# Work that takes longer than this many times the cold estimate was slow for
+# another reason than a cold object.
+MAX_COLD_FACTOR = 1.5
 
 
 class WorkTimeEstimator:
@@ -34,6 +37,11 @@
         """Tell whether this work time is nearer to the warm estimate."""
         return seconds < (self.cold_work_s + self.warm_work_s) / 2
 
+    def looks_cold(self, seconds: float) -> bool:
+        """Tell whether this work time is nearer to the cold estimate."""
+        is_too_long = seconds > MAX_COLD_FACTOR * self.cold_work_s
+        return not self.looks_warm(seconds) and not is_too_long
+
     def update(self, seconds: float, *, is_warm: bool) -> None:
         """Add the measured work time of a request that did not queue."""
         previous = self.expected_work_s(is_warm=is_warm)
--- a/src/currantspur/pipelines/placement_state.py
+++ b/src/currantspur/pipelines/placement_state.py
@@ -12,6 +12,7 @@
 from currantspur.decisions.target_signals import SignalTable
 from currantspur.decisions.target_state import TargetState
 from currantspur.decisions.topology import Topology
+from currantspur.decisions.warm_objects import WarmCapacity
 from currantspur.decisions.work_time import WorkTimeEstimator
 from currantspur.messages import Assignment, PlacementRequest
 from currantspur.pipelines.target_filters import (
@@ -37,6 +38,7 @@
         'states_by_service',
         'target_limits',
         'topology',
+        'warm_capacities',
         'work_s_by_service',
         'work_times',
     )
@@ -60,6 +62,8 @@
         self.target_limits = TargetLimits(topology, self.signals, instance_name)
         self.states_by_service: Mapping[str, list[TargetState]] = {}
         self.evacuated_zones: frozenset[str] = frozenset()
+        # By service: how many objects its targets keep warm.
+        self.warm_capacities: dict[str, WarmCapacity] = {}
         # By name of the route.
         self.work_times: dict[str, WorkTimeEstimator] = {}
         # Mean seconds of work of the newest request, by service.
@@ -70,6 +74,10 @@
     ) -> None:
         """Replace the targets of all services."""
         self.states_by_service = states_by_service
+        for service, states in states_by_service.items():
+            capacity = self.warm_capacities.setdefault(service, WarmCapacity())
+            for each in states:
+                each.warm_keys.capacity = capacity
         self.shortlists.update(states_by_service)
 
     def is_cross_region(self, candidate: Candidate) -> bool:
@@ -99,20 +107,26 @@
         """Learn the work time from a response without time in a queue."""
         if not assignment.had_free_slot:
             return
+        work_s = self.measure_work_s(target_state, assignment, at)
+        times = self.work_times_for(assignment.request)
+        # Requests of another instance may have warmed the target.
+        is_warm = assignment.is_warm or times.looks_warm(work_s)
+        expected_s = times.expected_work_s(is_warm=is_warm)
+        times.update(work_s, is_warm=is_warm)
+        target_state.record_latency_ratio(work_s / expected_s, at)
+
+    def measure_work_s(
+        self, target_state: TargetState, assignment: Assignment, at: float
+    ) -> float:
+        """Return the work time of a response without time in a queue."""
         zone = assignment.target.availability_zone
         round_trip_s = self.topology.round_trip_s(zone)
         # The load of the machine must not change what is learned of the work.
-        work_s = max(
+        return max(
             MIN_WORK_S,
             (at - assignment.assigned_at - round_trip_s)
             / target_state.pace.current(at),
         )
-        times = self.work_times_for(assignment.request)
-        # Requests of another instance may have warmed the target.
-        is_warm = assignment.is_warm or times.looks_warm(work_s)
-        expected_s = times.expected_work_s(is_warm=is_warm)
-        times.update(work_s, is_warm=is_warm)
-        target_state.record_latency_ratio(work_s / expected_s, at)
 
     def work_times_for(self, request: PlacementRequest) -> WorkTimeEstimator:
         """Return the estimator of the request's route, a new one if needed."""
--- a/src/currantspur/pipelines/target_outcomes.py
+++ b/src/currantspur/pipelines/target_outcomes.py
@@ -23,6 +23,7 @@
     """Record a success, a rejection or a failure of a target."""
     if release.outcome == 'answered':
         assignment = release.assignment
+        _learn_warm_capacity(release, target_state, state, at)
         target_state.record_success(at, assignment.request.object_key)
         state.record_latency(target_state, assignment, at)
     elif release.outcome == 'shed':
@@ -31,6 +32,32 @@
         _record_failure(release, target_state, state, at)
 
 
+def _learn_warm_capacity(
+    release: TargetRelease,
+    target_state: TargetState,
+    state: PlacementState,
+    at: float,
+) -> None:
+    """Learn from a response whether its target kept the object warm."""
+    assignment = release.assignment
+    object_key = assignment.request.object_key
+    had_queue = release.load is not None and release.load.queued > 0
+    if object_key is None or had_queue or not assignment.had_free_slot:
+        return
+    warm_keys = target_state.warm_keys
+    # Warmed since by another request, which was perhaps still running then.
+    is_new = object_key in warm_keys and not assignment.is_warm
+    age = warm_keys.find_age(object_key)
+    if age is None or is_new:
+        return
+    work_s = state.measure_work_s(target_state, assignment, at)
+    times = state.work_times_for(assignment.request)
+    if times.looks_warm(work_s):
+        warm_keys.capacity.record(age, was_warm=True)
+    elif times.looks_cold(work_s):
+        warm_keys.capacity.record(age, was_warm=False)
+
+
 def _record_failure(
     release: TargetRelease,
     target_state: TargetState,
--- a/src/currantspur/state_metrics.py
+++ b/src/currantspur/state_metrics.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 
+from currantspur.decisions.warm_objects import MAX_WARM_OBJECTS
 from currantspur.tasks import (
     AdmissionTask,
     Clock,
@@ -35,6 +36,7 @@
     for table, follower in followers.items():
         _register_age(metrics, clock, table, follower)
     _register_targets(metrics, clock, dispatcher)
+    _register_objects(metrics, dispatcher)
     _register_limits(metrics, dispatcher)
 
 
@@ -94,6 +96,18 @@
     )
 
 
+def _register_objects(metrics: Metrics, dispatcher: Dispatcher) -> None:
+    capacities = dispatcher.placement_state.warm_capacities
+    metrics.add_gauge(
+        'warm_objects_limit',
+        'Objects that a target keeps warm, of the service with the fewest.',
+        lambda: min(
+            (capacity.limit for capacity in capacities.values()),
+            default=MAX_WARM_OBJECTS,
+        ),
+    )
+
+
 def _register_limits(metrics: Metrics, dispatcher: Dispatcher) -> None:
     metrics.add_gauge(
         'repeats_left',
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -42,6 +42,7 @@
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.mailbox import Envelope
+from currantspur.tasks.object_journal import ObjectJournal
 from currantspur.tasks.signal_recorder import SignalRecorder
 from currantspur.tasks.startup_hold import StartupHold
 from currantspur.tasks.task import Task
@@ -64,6 +65,7 @@
         'handlers',
         'journal',
         'limits',
+        'object_journal',
         'placement_state',
         'report_collector',
         'retry_budgets',
@@ -91,6 +93,7 @@
         self.placement_state = PlacementState(
             topology, shift_cap=limits.shift_cap, instance_name=instance
         )
+        self.object_journal = ObjectJournal(journal, self.placement_state)
         self.report_collector = ReportCollector()
         self.target_retention = TargetRetention()
         self.evacuated_zones = EvacuatedZones()
@@ -223,6 +226,7 @@
             state.update_load(release.load, now)
             self.report_collector.record(release)
         record_outcome(release, state, self.placement_state, now)
+        self.object_journal.note_warm_limit(state.target.service)
 
     def _apply_configuration(self, update: ConfigurationUpdate) -> None:
         configuration = update.configuration
