Divide warm from cold work by the geometric mean

On a route of 2.2 s of cold work and a goal of 3.007 s, the first estimates put the arithmetic mean at 2.35 s: cold work was taken for warm, the cold estimate was never corrected, and what targets keep could not be learned from this route. The geometric mean divides the estimates by a factor, as work varies.

--- a/src/currantspur/decisions/work_time.py
+++ b/src/currantspur/decisions/work_time.py
@@ -1,5 +1,7 @@
 """Learn how long a target works on the requests of a route."""
 
+from math import sqrt
+
 from currantspur.messages import Route
 
 SMOOTHING_FACTOR = 0.1
@@ -34,8 +36,14 @@
         return self.warm_work_s if is_warm else self.cold_work_s
 
     def looks_warm(self, seconds: float) -> bool:
-        """Tell whether this work time is nearer to the warm estimate."""
-        return seconds < (self.cold_work_s + self.warm_work_s) / 2
+        """Tell whether this work time is nearer to the warm estimate.
+
+        The geometric mean of the estimates divides them: work varies by a
+        factor, and the initial estimates, parts of the latency goal, may exceed
+        the work by one. The arithmetic mean took cold work for warm on a route
+        of 2.2 s and a goal of 3 s, so that its cold work was never learned.
+        """
+        return seconds < sqrt(self.cold_work_s * self.warm_work_s)
 
     def looks_cold(self, seconds: float) -> bool:
         """Tell whether this work time is nearer to the cold estimate."""
--- a/tests/test_warm_objects.py
+++ b/tests/test_warm_objects.py
@@ -13,8 +13,10 @@
     WarmCapacity,
     WarmObjects,
 )
+from currantspur.decisions.work_time import WorkTimeEstimator
 from currantspur.messages import Assignment, TargetLoad, TargetRelease
 from currantspur.pipelines.target_outcomes import record_outcome
+from tests.routes import make_route
 from tests.test_placement import make_request, make_state
 
 OBJECTS = 60
@@ -104,6 +106,30 @@
     assert objects.find_age('0') == MAX_WARM_OBJECTS - 1
 
 
+# Guards against cold work that is always taken for warm: nothing would be
+# learned of dropped objects from such a route.
+@pytest.mark.parametrize('first_is_warm', [True, False])
+@pytest.mark.parametrize(
+    ('cold_s', 'goal_s'),
+    [
+        *((0.352, 0.31), (0.88, 0.607), (1.16, 0.819), (2.2, 3.007)),
+        *((0.44, 0.432), (0.85, 0.815), (0.65, 0.612), (2.6, 2.014)),
+    ],
+)
+def test_cold_and_warm_work_are_told_apart(cold_s, goal_s, first_is_warm):
+    random = Random(1)
+    times = WorkTimeEstimator(make_route(latency_goal_s=goal_s))
+    for number in range(200):
+        is_warm = first_is_warm is (number % 2 == 0)
+        work_share = 0.3 if is_warm else 1
+        work_s = cold_s * work_share * random.uniform(0.9, 1.1)
+        assert times.looks_warm(work_s) is is_warm
+        assert times.looks_cold(work_s) is not is_warm
+        times.update(work_s, is_warm=times.looks_warm(work_s))
+    assert times.cold_work_s == pytest.approx(cold_s, rel=0.1)
+    assert times.warm_work_s == pytest.approx(0.3 * cold_s, rel=0.1)
+
+
 def release(state, target_state, *, took_s, **options):
     """Record a response for the object '17'."""
     assignment = Assignment(
