Order targets of an object by weighted rendezvous hashing

Shares of objects did not follow the slots of targets. The negative logarithm of the uniform weight over the slots decides now; targets of equal slots keep the order of their weights, so that a fleet of two builds agrees. Shortlists are made anew when a target changes its slots.

--- a/src/currantspur/decisions/cost_model.py
+++ b/src/currantspur/decisions/cost_model.py
@@ -1,6 +1,6 @@
 """Estimate the cost in seconds of sending a request to each target."""
 
-from currantspur.decisions.affinity import rendezvous_weight
+from currantspur.decisions.object_homes import order_homes
 from currantspur.decisions.target_state import TargetState
 from currantspur.decisions.topology import CROSS_REGION_RTT_S, Topology
 from currantspur.decisions.work_time import WorkTimeEstimator
@@ -157,10 +157,6 @@
     """
     if object_key is None:
         return candidates
-    return sorted(
-        candidates,
-        key=lambda candidate: rendezvous_weight(
-            object_key, candidate.state.target.name
-        ),
-        reverse=True,
+    return order_homes(
+        candidates, object_key, lambda candidate: candidate.state.target
     )
--- a/src/currantspur/decisions/shortlist.py
+++ b/src/currantspur/decisions/shortlist.py
@@ -4,10 +4,10 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping, Sequence
-from heapq import nlargest
+from collections.abc import Mapping, Sequence
 
 from currantspur.decisions.affinity import WEIGHT_LIMIT, rendezvous_weight
+from currantspur.decisions.object_homes import HomeIndex
 from currantspur.decisions.target_state import TargetState
 from currantspur.decisions.topology import Topology
 
@@ -26,15 +26,32 @@
 class ServiceTargets:
     """The targets of one service, and the first ones of recent objects."""
 
-    __slots__ = ('by_object', 'joined', 'names', 'states')
+    __slots__ = (
+        'by_object',
+        'joined',
+        'other_region',
+        'own_region',
+        'placed',
+        'states',
+    )
 
-    def __init__(self, states: TargetStates) -> None:
+    def __init__(self, states: TargetStates, topology: Topology) -> None:
         self.states = states
-        self.names = frozenset(state.target.name for state in states)
+        self.placed = _list_placed(states)
         self.joined = tuple(state for state in states if state.has_joined)
+        by_region: dict[bool, list[TargetState]] = {False: [], True: []}
+        for state in states:
+            zone = state.target.availability_zone
+            by_region[topology.is_cross_region(zone)].append(state)
+        self.own_region = HomeIndex(by_region[False])
+        self.other_region = HomeIndex(by_region[True])
         # Most recently used last.
         self.by_object: OrderedDict[str, TargetStates] = OrderedDict()
 
+    def has_same_order(self, states: TargetStates) -> bool:
+        """Tell whether these targets have the same order for all objects."""
+        return self.placed == _list_placed(states)
+
 
 class TargetShortlists:
     """The shortlists of all services, as seen from one instance."""
@@ -53,11 +70,10 @@
         before = self.by_service
         self.by_service = {}
         for service, states in states_by_service.items():
-            targets = ServiceTargets(states)
             known = before.get(service)
-            if known is not None and known.names == targets.names:
-                targets.by_object = known.by_object
-            self.by_service[service] = targets
+            if known is None or not known.has_same_order(states):
+                known = ServiceTargets(states, self.topology)
+            self.by_service[service] = known
 
     def find(
         self, service: str, object_key: str | None, at: float
@@ -93,33 +109,23 @@
     ) -> TargetStates:
         shortlist = targets.by_object.get(object_key)
         if shortlist is None:
-            shortlist = self._rank(targets.states, object_key)
+            shortlist = (
+                *targets.own_region.find_first(object_key, OWN_REGION_TARGETS),
+                *targets.other_region.find_first(
+                    object_key, OTHER_REGION_TARGETS
+                ),
+            )
             targets.by_object[object_key] = shortlist
             if len(targets.by_object) > MAX_OBJECTS:
                 targets.by_object.popitem(last=False)
         targets.by_object.move_to_end(object_key)
         return shortlist
 
-    def _rank(
-        self, states: Iterable[TargetState], object_key: str
-    ) -> TargetStates:
-        own: list[TargetState] = []
-        other: list[TargetState] = []
-        for state in states:
-            zone = state.target.availability_zone
-            is_other = self.topology.is_cross_region(zone)
-            (other if is_other else own).append(state)
-        return (
-            *_first_for(own, object_key, OWN_REGION_TARGETS),
-            *_first_for(other, object_key, OTHER_REGION_TARGETS),
-        )
-
-
-def _first_for(
-    states: Iterable[TargetState], object_key: str, count: int
-) -> list[TargetState]:
-    return nlargest(
-        count,
-        states,
-        key=lambda state: rendezvous_weight(object_key, state.target.name),
+
+def _list_placed(
+    states: TargetStates,
+) -> frozenset[tuple[TargetState, int, str]]:
+    return frozenset(
+        (state, state.target.slots, state.target.availability_zone)
+        for state in states
     )
--- a/src/currantspur/decisions/topology.py
+++ b/src/currantspur/decisions/topology.py
@@ -27,7 +27,9 @@
 
     def is_cross_region(self, availability_zone: str) -> bool:
         """Tell whether a zone is in another region than this instance."""
-        return self.find_region(availability_zone) != self.region
+        # As find_region(), without the call: asked for each target compared.
+        region = self.region_by_zone.get(availability_zone, availability_zone)
+        return region != self.region
 
     def round_trip_s(self, availability_zone: str) -> float:
         """Return the assumed seconds to a zone and back; 0 in the own zone."""
--- a/tests/test_shortlist.py
+++ b/tests/test_shortlist.py
@@ -43,6 +43,11 @@
     ]
 
 
+def resize(state):
+    state.target.slots += 1
+    return [state]
+
+
 def make_state(targets, *, instance='i', instance_count=1):
     topology = Topology(availability_zone='n1', region_by_zone=REGIONS)
     state = PlacementState(topology, shift_cap=0.15, instance_name=instance)
@@ -111,6 +116,7 @@
         (lambda targets: targets, True),
         (lambda targets: targets[1:], False),
         (lambda targets: [*targets, *make_targets(1, has_joined=True)], False),
+        (lambda targets: targets[:-1] + resize(targets[-1]), False),
     ],
 )
 def test_shortlist_is_kept_until_targets_change(change, is_kept):
