Sort only targets near an object, over all sizes

With targets of several sizes the highest weights of each size were sorted, several times as many as are sought.

--- a/src/currantspur/decisions/object_homes.py
+++ b/src/currantspur/decisions/object_homes.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Callable, Iterable, Sequence
-from math import log
+from math import exp, inf, log
 from operator import itemgetter
 from typing import TypeVar
 
@@ -20,8 +20,8 @@
 Member = TypeVar('Member')
 # The least comes first.
 Place = tuple[float, int]
-# In a group of many targets only those of the highest weights are sorted: the
-# part of them that on average holds this many times as many as are sought.
+# Only the targets within a distance are sorted, which on average are this many
+# times as many as are sought.
 SOUGHT_MARGIN = 2
 
 
@@ -74,44 +74,56 @@
         self.states.append(state)
         self.suffixes.append(f'\0{state.target.name}'.encode())
 
-    def find_first(
-        self, prefix: bytes, count: int
+    def find_within(
+        self, prefix: bytes, reach: float
     ) -> list[tuple[Place, TargetState]]:
-        """Return at least the first targets with their places, unordered.
+        """Return targets within a distance, with their places, unordered.
 
         The weights are those of `rendezvous_weight`.
         """
         weights = [xxh64_intdigest(prefix + each) for each in self.suffixes]
-        part = SOUGHT_MARGIN * count / len(weights)
-        least = int(WEIGHT_LIMIT * (1 - part)) if part < 1 else 0
-        numbers = [
-            number for number, weight in enumerate(weights) if weight >= least
-        ]
-        if len(numbers) < count:
-            numbers = list(range(len(weights)))
+        least = WEIGHT_LIMIT * exp(-reach * self.slots)
         return [
-            (find_place(weights[number], self.slots), self.states[number])
-            for number in numbers
+            (find_place(weight, self.slots), self.states[number])
+            for number, weight in enumerate(weights)
+            if weight >= least
         ]
 
 
 class HomeIndex:
     """Targets among which the first ones of any object are found quickly."""
 
-    __slots__ = ('groups',)
+    __slots__ = ('groups', 'size', 'slots')
 
     def __init__(self, states: Iterable[TargetState]) -> None:
         by_slots: dict[int, HomeGroup] = {}
         for state in states:
-            slots = state.target.slots
+            slots = max(1, state.target.slots)
             by_slots.setdefault(slots, HomeGroup(slots)).add(state)
         self.groups = tuple(by_slots.values())
+        self.size = sum(len(group.states) for group in self.groups)
+        self.slots = sum(
+            group.slots * len(group.states) for group in self.groups
+        )
 
     def find_first(self, object_key: str, count: int) -> list[TargetState]:
         """Return the first targets in the order of an object."""
+        if not self.size:
+            return []
+        # On average, as many targets are within a distance as there are slots,
+        # times the distance.
+        reach = SOUGHT_MARGIN * count / self.slots
+        found = self._find_within(object_key, reach)
+        if len(found) < min(count, self.size):
+            found = self._find_within(object_key, inf)
+        found.sort(key=itemgetter(0))
+        return [state for _, state in found[:count]]
+
+    def _find_within(
+        self, object_key: str, reach: float
+    ) -> list[tuple[Place, TargetState]]:
         prefix = object_key.encode()
         found: list[tuple[Place, TargetState]] = []
         for group in self.groups:
-            found.extend(group.find_first(prefix, count))
-        found.sort(key=itemgetter(0))
-        return [state for _, state in found[:count]]
+            found.extend(group.find_within(prefix, reach))
+        return found
