Give joined targets their place object by object

A joined target ranked one place lower for as long as it was known, so shares never followed a scale-out, and after all targets had been replaced all of them had the same rank for every object. It now gets its place for one object after the other, in an order that all instances share: from 3 s after it was listed, or the end of its cold time, over 12 s, or longer where the cold rate is too low for as many objects as targets keep.

Time is that of the instance since it listed the target. Two instances that listed it 0.1 to 2.5 s apart differ on the part of its objects taken in between. The start time in the row is not used: clocks of machines differ.

--- a/src/currantspur/decisions/cost_model.py
+++ b/src/currantspur/decisions/cost_model.py
@@ -33,6 +33,7 @@
         'cost_s',
         'expected_s',
         'in_flight',
+        'is_newcomer',
         'is_warm',
         'rank',
         'state',
@@ -42,6 +43,7 @@
     def __init__(self, state: TargetState) -> None:
         self.state = state
         self.in_flight = 0.0
+        self.is_newcomer = False
         self.is_warm = False
         self.rank = 0
         self.wait_s = 0.0
@@ -53,14 +55,6 @@
         """Tell whether a slot is probably free."""
         return self.in_flight < self.state.target.slots
 
-    @property
-    def is_newcomer(self) -> bool:
-        """Tell whether it joined and is not known to be warm for the object.
-
-        A target that joined stays so for as long as it is known.
-        """
-        return self.state.has_joined and not self.is_warm
-
     @property
     def is_full(self) -> bool:
         """Tell whether it would probably reject a request."""
@@ -82,6 +76,14 @@
         candidate = Candidate(state)
         candidate.in_flight = state.in_flight(at)
         candidate.is_warm = request.object_key in state.warm_keys
+        # An object that a target is warm for is there already.
+        candidate.is_newcomer = (
+            state.has_joined
+            and not candidate.is_warm
+            and not state.joining_time.has_place(
+                state.target.name, request.object_key, at
+            )
+        )
         return candidate
 
     def set_cost(
--- a/src/currantspur/decisions/object_homes.py
+++ b/src/currantspur/decisions/object_homes.py
@@ -6,23 +6,29 @@
 from itself.
 """
 
-from collections.abc import Callable, Iterable, Sequence
-from math import exp, inf, log
-from operator import itemgetter
+from collections.abc import Callable, Sequence
+from math import log
 from typing import TypeVar
 
-from xxhash import xxh64_intdigest
-
-from currantspur.decisions.affinity import WEIGHT_LIMIT, rendezvous_weight
-from currantspur.decisions.target_state import TargetState
+from currantspur.decisions.affinity import (
+    WEIGHT_LIMIT,
+    draw_uniform,
+    rendezvous_weight,
+)
 from currantspur.messages import Target
 
+# A target that joined takes no objects before the other instances list it, too.
+# Tables reach all of them within 2.5 s.
+JOIN_DELAY_S = 3.0
+# It then takes all of its objects within the time in which the fleet may send a
+# cold target a request for each of as many as targets keep, but not faster than
+# a target of 3 slots handles so many cold ones of 0.9 s beside its other work.
+KEPT_OBJECTS = 27
+MIN_JOIN_S = 12.0
+MAX_JOIN_S = 60.0
 Member = TypeVar('Member')
 # The least comes first.
 Place = tuple[float, int]
-# Only the targets within a distance are sorted, which on average are this many
-# times as many as are sought.
-SOUGHT_MARGIN = 2
 
 
 def find_place(weight: int, slots: int) -> Place:
@@ -57,73 +63,39 @@
     return [members[number] for number in numbers]
 
 
-class HomeGroup:
-    """Targets of equal slots, whose order is that of their weights."""
+class JoiningTime:
+    """When a target that joined takes its place for each object.
 
-    __slots__ = ('slots', 'states', 'suffixes')
+    It is counted from when this instance first listed the target: clocks of
+    other machines do not matter. What differs between instances is only when
+    they listed it, so they disagree on few of its objects.
+    """
 
-    def __init__(self, slots: int) -> None:
-        """Start without targets."""
-        self.slots = slots
-        self.states: list[TargetState] = []
-        # What follows the object in the text that is hashed.
-        self.suffixes: list[bytes] = []
+    __slots__ = ('begins_at', 'lasts_s')
 
-    def add(self, state: TargetState) -> None:
-        """Add a target."""
-        self.states.append(state)
-        self.suffixes.append(f'\0{state.target.name}'.encode())
+    def __init__(self, listed_at: float, cold_s: float) -> None:
+        self.begins_at = listed_at + max(JOIN_DELAY_S, cold_s)
+        self.lasts_s = MIN_JOIN_S
 
-    def find_within(
-        self, prefix: bytes, reach: float
-    ) -> list[tuple[Place, TargetState]]:
-        """Return targets within a distance, with their places, unordered.
+    def set_cold_rate(self, requests_per_s: float) -> None:
+        """Set the requests per second that the fleet may send a cold target."""
+        if requests_per_s > 0:
+            self.lasts_s = min(
+                MAX_JOIN_S, max(MIN_JOIN_S, KEPT_OBJECTS / requests_per_s)
+            )
 
-        The weights are those of `rendezvous_weight`.
-        """
-        weights = [xxh64_intdigest(prefix + each) for each in self.suffixes]
-        least = WEIGHT_LIMIT * exp(-reach * self.slots)
-        return [
-            (find_place(weight, self.slots), self.states[number])
-            for number, weight in enumerate(weights)
-            if weight >= least
-        ]
+    def is_over(self, at: float) -> bool:
+        """Tell whether the target has its place for all objects."""
+        return at - self.begins_at >= self.lasts_s
 
+    def has_place(self, name: str, object_key: str | None, at: float) -> bool:
+        """Tell whether the target of this name has its place for an object.
 
-class HomeIndex:
-    """Targets among which the first ones of any object are found quickly."""
-
-    __slots__ = ('groups', 'size', 'slots')
-
-    def __init__(self, states: Iterable[TargetState]) -> None:
-        by_slots: dict[int, HomeGroup] = {}
-        for state in states:
-            slots = max(1, state.target.slots)
-            by_slots.setdefault(slots, HomeGroup(slots)).add(state)
-        self.groups = tuple(by_slots.values())
-        self.size = sum(len(group.states) for group in self.groups)
-        self.slots = sum(
-            group.slots * len(group.states) for group in self.groups
-        )
-
-    def find_first(self, object_key: str, count: int) -> list[TargetState]:
-        """Return the first targets in the order of an object."""
-        if not self.size:
-            return []
-        # On average, as many targets are within a distance as there are slots,
-        # times the distance.
-        reach = SOUGHT_MARGIN * count / self.slots
-        found = self._find_within(object_key, reach)
-        if len(found) < min(count, self.size):
-            found = self._find_within(object_key, inf)
-        found.sort(key=itemgetter(0))
-        return [state for _, state in found[:count]]
-
-    def _find_within(
-        self, object_key: str, reach: float
-    ) -> list[tuple[Place, TargetState]]:
-        prefix = object_key.encode()
-        found: list[tuple[Place, TargetState]] = []
-        for group in self.groups:
-            found.extend(group.find_within(prefix, reach))
-        return found
+        The order of objects is the same on all instances. Requests without an
+        object come last.
+        """
+        passed_s = at - self.begins_at
+        if passed_s <= 0 or object_key is None or passed_s >= self.lasts_s:
+            return passed_s >= self.lasts_s
+        position = draw_uniform(f'{object_key}\0join', name)
+        return passed_s >= position * self.lasts_s
--- a/src/currantspur/decisions/shortlist.py
+++ b/src/currantspur/decisions/shortlist.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping, Sequence
 
 from currantspur.decisions.affinity import WEIGHT_LIMIT, rendezvous_weight
-from currantspur.decisions.object_homes import HomeIndex
+from currantspur.decisions.home_index import HomeIndex
 from currantspur.decisions.target_state import TargetState
 from currantspur.decisions.topology import Topology
 
--- a/src/currantspur/decisions/target_state.py
+++ b/src/currantspur/decisions/target_state.py
@@ -2,6 +2,7 @@
 
 from currantspur.decisions.decay import decay
 from currantspur.decisions.machine_pace import MachinePace
+from currantspur.decisions.object_homes import JoiningTime
 from currantspur.decisions.rate_share import RateShare
 from currantspur.decisions.warm_objects import WarmObjects
 from currantspur.messages import Target, TargetLoad
@@ -37,6 +38,7 @@
         'cold_until',
         'failure_score_at',
         'has_joined',
+        'joining_time',
         'last_failure_score',
         'last_latency_ratio',
         'latency_ratio_at',
@@ -57,11 +59,12 @@
         """Start with a target row that was read at a given time.
 
         `has_joined` means that another target of its service was warm for some
-        object when this one was first listed. It holds for as long as this
-        instance knows the target.
+        object when this one was first listed. It takes its place in the order
+        of objects step by step; after the joining time it is an ordinary one.
         """
         self.target = target
         self.has_joined = has_joined
+        self.joining_time = JoiningTime(at, target.cold_remaining_s)
         self.own_in_flight = 0
         self.others_in_flight = 0.0
         self.others_in_flight_at = at
@@ -116,7 +119,8 @@
     def needs_warmup(self, at: float) -> bool:
         """Tell whether it joined, has no warm object and is due a request."""
         is_due = at - self.warmup_sent_at >= WARMUP_SPACING_S
-        return self.has_joined and is_due and not self.warm_keys
+        is_joining = self.has_joined and not self.joining_time.is_over(at)
+        return is_joining and is_due and not self.warm_keys
 
     def is_cold(self, at: float) -> bool:
         """Tell whether its rate is limited.
--- a/src/currantspur/pipelines/placement.py
+++ b/src/currantspur/pipelines/placement.py
@@ -93,7 +93,7 @@
 ) -> Iterator[Candidate]:
     """Set the cost of each candidate by its rank in the order of the object.
 
-    Without an object newcomers have rank 1 and all others rank 0.
+    Without an object targets that are joining have rank 1, all others rank 0.
     """
     work_times = state.work_times_for(request)
     ranked = rank_by_affinity(list(candidates), request.object_key)
@@ -103,8 +103,8 @@
         is_cross_region = state.is_cross_region(candidate)
         rank = next_ranks.get(is_cross_region, 0)
         if candidate.is_newcomer:
-            # Objects stay on targets that are warm for them until those are
-            # busy, so a newcomer ranks behind the next target.
+            # Until a joining target has its place for the object, it ranks
+            # behind the next target: objects move to it one by one.
             rank += 1
         elif request.object_key is not None:
             next_ranks[is_cross_region] = rank + 1
@@ -114,7 +114,8 @@
             work_times,
             rank=rank,
             at=at,
-            sends_warmups=state.shortlists.sends_warmups(
+            sends_warmups=candidate.state.needs_warmup(at)
+            and state.shortlists.sends_warmups(
                 candidate.state, state.spillover.region_instance_count
             ),
         )
--- a/src/currantspur/pipelines/placement_state.py
+++ b/src/currantspur/pipelines/placement_state.py
@@ -76,8 +76,10 @@
         self.states_by_service = states_by_service
         for service, states in states_by_service.items():
             capacity = self.warm_capacities.setdefault(service, WarmCapacity())
+            cold_per_s = self.target_limits.cold_per_s_by_service
             for each in states:
                 each.warm_keys.capacity = capacity
+                each.joining_time.set_cold_rate(cold_per_s.get(service, 0.0))
         self.shortlists.update(states_by_service)
 
     def is_cross_region(self, candidate: Candidate) -> bool:
--- a/tests/test_home_order.py
+++ b/tests/test_home_order.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from currantspur.decisions.affinity import rendezvous_weight
-from currantspur.decisions.object_homes import HomeIndex, order_homes
+from currantspur.decisions.home_index import HomeIndex
+from currantspur.decisions.object_homes import order_homes
 from currantspur.decisions.target_state import TargetState
 from currantspur.messages import Target
 
