Count moves of objects by cause, and the fullest target

Nothing showed how many objects a change of targets moved. The gauges currantspur_objects_moved (joined, left, overload) and currantspur_fullest_target_share compare the last target of the newest 2,048 objects.

--- a/src/currantspur/state_metrics.py
+++ b/src/currantspur/state_metrics.py
@@ -1,7 +1,9 @@
 """Gauges of the state that an instance decides by, and of its age."""
 
 from collections.abc import Mapping
+from functools import partial
 
+from currantspur.decisions.object_moves import MoveCause
 from currantspur.decisions.warm_objects import MAX_WARM_OBJECTS
 from currantspur.tasks import (
     AdmissionTask,
@@ -106,6 +108,18 @@
             default=MAX_WARM_OBJECTS,
         ),
     )
+    moves = dispatcher.object_journal.moves
+    metrics.add_gauges(
+        'objects_moved',
+        'Objects that changed their target, since the start.',
+        label='cause',
+        reads={cause: partial(moves.count, cause) for cause in MoveCause},
+    )
+    metrics.add_gauge(
+        'fullest_target_share',
+        'Largest share of objects as a multiple of what the slots are due.',
+        dispatcher.object_journal.find_fullest,
+    )
 
 
 def _register_limits(metrics: Metrics, dispatcher: Dispatcher) -> None:
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -4,6 +4,10 @@
 from typing import Any
 
 from currantspur.decisions.evacuated_zones import EvacuatedZones
+from currantspur.decisions.listed_targets import (
+    group_by_service,
+    refresh_states,
+)
 from currantspur.decisions.retries import RetryBudgets
 from currantspur.decisions.target_reports import (
     ReportCollector,
@@ -24,7 +28,6 @@
     Refusal,
     ResponseStarted,
     ServiceLoad,
-    Target,
     TargetRelease,
     TargetsUpdate,
     Tick,
@@ -93,12 +96,14 @@
         self.placement_state = PlacementState(
             topology, shift_cap=limits.shift_cap, instance_name=instance
         )
-        self.object_journal = ObjectJournal(journal, self.placement_state)
         self.report_collector = ReportCollector()
         self.target_retention = TargetRetention()
         self.evacuated_zones = EvacuatedZones()
         self.targets_revision = -1
         self.target_states: dict[str, TargetState] = {}
+        self.object_journal = ObjectJournal(
+            journal, self.placement_state, self.target_states
+        )
         self.signal_recorder = SignalRecorder(
             journal, self.placement_state.signals, self.target_states
         )
@@ -189,6 +194,7 @@
         if candidate is None:
             return refuse_placement(request, self.placement_state, now)
         state = candidate.state
+        self.object_journal.count_move(request, state, now)
         state.own_in_flight += 1
         self.placement_state.spillover.limiter_for(request.service).record_sent(
             is_cross_region=self.placement_state.is_cross_region(candidate)
@@ -289,50 +295,19 @@
         now = self.clock.now()
         current_targets = self.target_retention.current(now)
         self.placement_state.signals.forget_unlisted(current_targets, now)
-        removed_names = set(self.target_states) - set(current_targets)
-        for name in removed_names:
-            self.target_states.pop(name)
-        # A service whose requests name no object has no warm keys: none of its
-        # targets counts as joined.
-        warm_services = {
-            state.target.service
-            for state in self.target_states.values()
-            if state.warm_keys
-        }
-        is_new = [
-            self._add_or_update_target(
-                target, now, has_joined=target.service in warm_services
-            )
-            for target in current_targets.values()
-        ]
-        by_service: dict[str, list[TargetState]] = {}
-        for state in self.target_states.values():
-            by_service.setdefault(state.target.service, []).append(state)
-        self.placement_state.set_targets(by_service)
+        change = refresh_states(self.target_states, current_targets, now)
+        self.placement_state.set_targets(group_by_service(self.target_states))
         self.placement_state.plan_spillover(now)
-        if removed_names or any(is_new):
+        if change.removed_names or change.new_count:
             self.journal.note(
                 'targets',
                 revision=get_version(self.targets_revision),
                 known=len(current_targets),
-                new=sum(is_new),
-                gone=sorted(removed_names),
+                new=change.new_count,
+                gone=sorted(change.removed_names),
                 lapsed=len(self.target_retention.retained),
             )
 
-    def _add_or_update_target(
-        self, target: Target, now: float, *, has_joined: bool
-    ) -> bool:
-        """Return True if the target was not known before."""
-        state = self.target_states.get(target.name)
-        if state is not None:
-            state.update_target(target, now)
-            return False
-        self.target_states[target.name] = TargetState(
-            target, now, has_joined=has_joined
-        )
-        return True
-
     def _apply_fleet_view(self, view: FleetView) -> None:
         self.placement_state.target_limits.update_view(view)
         self._plan_spillover(view)
--- a/src/currantspur/wire/metrics.py
+++ b/src/currantspur/wire/metrics.py
@@ -1,6 +1,6 @@
 """Define and serve the Prometheus metrics of an instance."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from aiohttp import web
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
@@ -71,6 +71,24 @@
         )
         gauge.set_function(read)
 
+    def add_gauges(
+        self,
+        name: str,
+        description: str,
+        *,
+        label: str,
+        reads: Mapping[str, Callable[[], float]],
+    ) -> None:
+        """Register a gauge with one callback for each value of its label."""
+        gauge = Gauge(
+            f'currantspur_{name}',
+            description,
+            (label,),
+            registry=self.registry,
+        )
+        for value, read in reads.items():
+            gauge.labels(value).set_function(read)
+
     async def handle_scrape(self, _request: web.BaseRequest) -> web.Response:
         """Return all metrics in the Prometheus text format."""
         return web.Response(
