Find room in the own region; bound the cost without objects

With the targets of the own region in a shortlist full, the shortlist preferred another region. Where the limit of region changes did not allow that, the request was refused although other targets of the region had room. All targets are compared then.

--- a/src/currantspur/decisions/home_index.py
+++ b/src/currantspur/decisions/home_index.py
@@ -39,8 +39,9 @@
 
         The weights are those of `rendezvous_weight`.
         """
-        weights = [xxh64_intdigest(prefix + each) for each in self.suffixes]
-        least = WEIGHT_LIMIT * exp(-reach * self.slots)
+        names = map(prefix.__add__, self.suffixes)
+        weights = list(map(xxh64_intdigest, names))
+        least = int(WEIGHT_LIMIT * exp(-reach * self.slots))
         return [
             (find_place(weight, self.slots), self.states[number])
             for number, weight in enumerate(weights)
--- a/src/currantspur/decisions/shortlist.py
+++ b/src/currantspur/decisions/shortlist.py
@@ -6,7 +6,11 @@
 from collections import OrderedDict
 from collections.abc import Mapping, Sequence
 
-from currantspur.decisions.affinity import WEIGHT_LIMIT, rendezvous_weight
+from currantspur.decisions.affinity import (
+    WEIGHT_LIMIT,
+    draw_uniform,
+    rendezvous_weight,
+)
 from currantspur.decisions.home_index import HomeIndex
 from currantspur.decisions.target_state import TargetState
 from currantspur.decisions.topology import Topology
@@ -16,6 +20,10 @@
 OWN_REGION_TARGETS = 24
 OTHER_REGION_TARGETS = 12
 MAX_OBJECTS = 1024
+# For a request without an object, of the own zone, of the other zones of the
+# region and of other regions each. Among so many, the least busy one is hardly
+# busier than the least busy of all.
+SAMPLED_TARGETS = 12
 # Instances that send first requests to a target that joined: every one would
 # keep it busy with the first requests of a large fleet alone.
 WARMUP_INSTANCES = 6
@@ -27,6 +35,7 @@
     """The targets of one service, and the first ones of recent objects."""
 
     __slots__ = (
+        'by_distance',
         'by_object',
         'joined',
         'other_region',
@@ -39,12 +48,21 @@
         self.states = states
         self.placed = _list_placed(states)
         self.joined = tuple(state for state in states if state.has_joined)
-        by_region: dict[bool, list[TargetState]] = {False: [], True: []}
+        # In the own zone, in the rest of the own region, in other regions.
+        own_zone: list[TargetState] = []
+        own_region: list[TargetState] = []
+        other_region: list[TargetState] = []
         for state in states:
             zone = state.target.availability_zone
-            by_region[topology.is_cross_region(zone)].append(state)
-        self.own_region = HomeIndex(by_region[False])
-        self.other_region = HomeIndex(by_region[True])
+            if zone == topology.availability_zone:
+                own_zone.append(state)
+            elif topology.is_cross_region(zone):
+                other_region.append(state)
+            else:
+                own_region.append(state)
+        self.by_distance = (own_zone, own_region, other_region)
+        self.own_region = HomeIndex(own_zone + own_region)
+        self.other_region = HomeIndex(other_region)
         # Most recently used last.
         self.by_object: OrderedDict[str, TargetStates] = OrderedDict()
 
@@ -81,14 +99,19 @@
         """Return the targets to compare for an object, or all of them.
 
         Besides its first ones these are the joined targets that this instance
-        has to send a first request.
+        has to send a first request. Without an object they are some that
+        change with the time.
         """
         targets = self.by_service.get(service)
         if targets is None:
             return ()
-        if object_key is None or len(targets.states) < MIN_SERVICE_SIZE:
+        if len(targets.states) < MIN_SERVICE_SIZE:
             return targets.states
-        shortlist = self._find_shortlist(targets, object_key)
+        shortlist = (
+            _sample(targets, at)
+            if object_key is None
+            else self._find_shortlist(targets, object_key)
+        )
         due = [state for state in targets.joined if state.needs_warmup(at)]
         return (*shortlist, *due) if due else shortlist
 
@@ -122,6 +145,19 @@
         return shortlist
 
 
+def _sample(targets: ServiceTargets, at: float) -> TargetStates:
+    # Requests that are placed at the same time compare the same targets.
+    draw = draw_uniform(str(at), '')
+    sample: list[TargetState] = []
+    for states in targets.by_distance:
+        first = int(draw * len(states))
+        sample += states[first : first + SAMPLED_TARGETS]
+        if len(states) - first < SAMPLED_TARGETS:
+            left = first + SAMPLED_TARGETS - len(states)
+            sample += states[: min(first, left)]
+    return tuple(sample)
+
+
 def _list_placed(
     states: TargetStates,
 ) -> frozenset[tuple[TargetState, int, str]]:
--- a/src/currantspur/pipelines/placement.py
+++ b/src/currantspur/pipelines/placement.py
@@ -223,10 +223,14 @@
     """
     shortlist = state.shortlists.find(request.service, request.object_key, at)
     candidates = list_candidates(shortlist, request, state, at)
-    if not candidates:
-        everything = state.states_by_service.get(request.service, ())
+    chosen = _choose_within_limit(candidates, request, state, at)
+    everything = state.states_by_service.get(request.service, ())
+    if chosen is None and len(shortlist) < len(everything):
+        # Also if only targets elsewhere have room, which the limiter does not
+        # allow: others of the own region may have some.
         candidates = list_candidates(everything, request, state, at)
-    return _choose_within_limit(candidates, request, state, at)
+        chosen = _choose_within_limit(candidates, request, state, at)
+    return chosen
 
 
 def _choose_within_limit(
--- a/tests/test_shortlist.py
+++ b/tests/test_shortlist.py
@@ -8,6 +8,7 @@
     MIN_SERVICE_SIZE,
     OTHER_REGION_TARGETS,
     OWN_REGION_TARGETS,
+    SAMPLED_TARGETS,
     WARMUP_INSTANCES,
 )
 from currantspur.decisions.target_state import TargetState
@@ -168,3 +169,39 @@
         )
         chosen = choose_target(make_request('17'), state, 1.0)
         assert chosen.state.target.name == 'joined'
+
+
+# Guards against a refusal while targets of the own region beyond the shortlist
+# have room: the shortlist then prefers another region, which is not allowed.
+@pytest.mark.parametrize('object_key', ['17', '18', None])
+def test_room_in_own_region_is_found(object_key):
+    targets = make_targets(300)
+    state = make_state(targets)
+    for each in state.shortlists.find('s', object_key, 1.0):
+        if not state.topology.is_cross_region(each.target.availability_zone):
+            each.own_in_flight = 12
+    targets[0].own_in_flight = 0
+    chosen = choose_target(make_request(object_key), state, 1.0).state
+    assert not state.topology.is_cross_region(chosen.target.availability_zone)
+
+
+# Guards against a cost that grows with the service: requests without an object
+# compare some targets of each distance, not always the same ones.
+@pytest.mark.parametrize('service_size', [48, 300, 1000])
+def test_requests_without_object_compare_few(service_size):
+    targets = make_targets(service_size)
+    state = make_state(targets)
+    compared = Counter()
+    for number in range(400):
+        found = state.shortlists.find('s', None, number / 100)
+        assert found == state.shortlists.find('s', None, number / 100)
+        assert len(found) == len(set(found)) == 3 * SAMPLED_TARGETS
+        compared.update(each.target.availability_zone for each in found)
+        compared.update(each.target.name for each in found)
+        request = make_request(None)
+        chosen = choose_target(request, state, number / 100).state
+        assert chosen.target.availability_zone == 'n1'
+    assert {compared[zone] for zone in ZONES} == {400 * SAMPLED_TARGETS}
+    mean = 400 * 3 * SAMPLED_TARGETS / service_size
+    for each in targets:
+        assert 0.3 * mean <= compared[each.target.name] <= 3 * mean
