Learn what targets keep in the model, too

The model recorded responses without learning how many objects targets keep, so an experiment showed the placement of before.

--- a/src/currantspur/model/policies.py
+++ b/src/currantspur/model/policies.py
@@ -18,6 +18,7 @@
 )
 from currantspur.pipelines.placement import choose_target
 from currantspur.pipelines.placement_state import PlacementState
+from currantspur.pipelines.target_outcomes import learn_warm_capacity
 
 # Default of the setting shift_cap (messages.limits.FleetLimits).
 SHIFT_CAP = 0.15
@@ -152,12 +153,15 @@
         sent_at: float,
     ) -> None:
         """Learn the load, the warm object and the work time."""
-        super().record_response(name, load, object_key, at, sent_at=sent_at)
         assignment = self.assignments.pop((name, sent_at))
+        target_state = self.target_states[name]
         if object_key is not None:
-            self.placement_state.record_latency(
-                self.target_states[name], assignment, at
+            learn_warm_capacity(
+                assignment, load, target_state, self.placement_state, at
             )
+        super().record_response(name, load, object_key, at, sent_at=sent_at)
+        if object_key is not None:
+            self.placement_state.record_latency(target_state, assignment, at)
 
     def measure_busy_slots(self, at: float) -> Mapping[str, float]:
         """Return the busy slots by service, as the product measures them."""
--- a/src/currantspur/pipelines/target_outcomes.py
+++ b/src/currantspur/pipelines/target_outcomes.py
@@ -1,7 +1,7 @@
 """Learn from how attempts at a target end."""
 
 from currantspur.decisions.target_state import TargetState
-from currantspur.messages import TargetRelease
+from currantspur.messages import Assignment, TargetLoad, TargetRelease
 from currantspur.pipelines.placement_state import PlacementState
 
 # Outcomes that count as a failure of the target, and those of them that
@@ -23,7 +23,7 @@
     """Record a success, a rejection or a failure of a target."""
     if release.outcome == 'answered':
         assignment = release.assignment
-        _learn_warm_capacity(release, target_state, state, at)
+        learn_warm_capacity(assignment, release.load, target_state, state, at)
         target_state.record_success(at, assignment.request.object_key)
         state.record_latency(target_state, assignment, at)
     elif release.outcome == 'shed':
@@ -32,16 +32,19 @@
         _record_failure(release, target_state, state, at)
 
 
-def _learn_warm_capacity(
-    release: TargetRelease,
+def learn_warm_capacity(
+    assignment: Assignment,
+    load: TargetLoad | None,
     target_state: TargetState,
     state: PlacementState,
     at: float,
 ) -> None:
-    """Learn from a response whether its target kept the object warm."""
-    assignment = release.assignment
+    """Learn from a response whether its target kept the object warm.
+
+    Its success is recorded afterwards: that makes the object the newest one.
+    """
     object_key = assignment.request.object_key
-    had_queue = release.load is not None and release.load.queued > 0
+    had_queue = load is not None and load.queued > 0
     if object_key is None or had_queue or not assignment.had_free_slot:
         return
     warm_keys = target_state.warm_keys
