--- a/src/currantspur/decisions/target_state.py
+++ b/src/currantspur/decisions/target_state.py
@@ -1,10 +1,10 @@
 """Track the state of one target from its responses and reported load."""
 
-from collections import OrderedDict
-
 from currantspur.decisions.decay import decay
 from currantspur.decisions.machine_pace import MachinePace
+from currantspur.decisions.object_homes import JoiningTime
 from currantspur.decisions.rate_share import RateShare
+from currantspur.decisions.warm_objects import WarmObjects
 from currantspur.messages import Target, TargetLoad
 
 # Without news, the estimate of the requests that other instances have in flight
@@ -19,7 +19,6 @@
 LATENCY_RATIO_SMOOTHING = 0.3
 MAX_LATENCY_RATIO = 20.0
 MIN_LATENCY_RATIO = 0.5
-MAX_WARM_KEYS = 128
 # A target that rejects a request holds at least this many requests per slot.
 # They are counted as requests of other instances and alone do not make it full
 # (QUEUE_FACTOR): it stays a candidate, at a higher cost.
@@ -39,6 +38,7 @@
         'cold_until',
         'failure_score_at',
         'has_joined',
+        'joining_time',
         'last_failure_score',
         'last_latency_ratio',
         'latency_ratio_at',
@@ -59,11 +59,12 @@
         """Start with a target row that was read at a given time.
 
         `has_joined` means that another target of its service was warm for some
-        object when this one was first listed. It holds for as long as this
-        instance knows the target.
+        object when this one was first listed. It takes its place in the order
+        of objects step by step; after the joining time it is an ordinary one.
         """
         self.target = target
         self.has_joined = has_joined
+        self.joining_time = JoiningTime(at, target.cold_remaining_s)
         self.own_in_flight = 0
         self.others_in_flight = 0.0
         self.others_in_flight_at = at
@@ -80,7 +81,7 @@
         # The part of its rate for this instance, while it is cold or limited.
         self.rate_share: RateShare | None = None
         self.warmup_sent_at = float('-inf')
-        self.warm_keys: OrderedDict[str, None] = OrderedDict()
+        self.warm_keys = WarmObjects()
 
     def update_target(self, target: Target, at: float) -> None:
         """Replace the row of the target.
@@ -118,7 +119,8 @@
     def needs_warmup(self, at: float) -> bool:
         """Tell whether it joined, has no warm object and is due a request."""
         is_due = at - self.warmup_sent_at >= WARMUP_SPACING_S
-        return self.has_joined and is_due and not self.warm_keys
+        is_joining = self.has_joined and not self.joining_time.is_over(at)
+        return is_joining and is_due and not self.warm_keys
 
     def is_cold(self, at: float) -> bool:
         """Tell whether its rate is limited.
@@ -206,7 +208,4 @@
 
 def add_warm_key(state: TargetState, object_key: str) -> None:
     """Mark a target as warm for an object."""
-    state.warm_keys[object_key] = None
-    state.warm_keys.move_to_end(object_key)
-    if len(state.warm_keys) > MAX_WARM_KEYS:
-        state.warm_keys.popitem(last=False)
+    state.warm_keys.add(object_key)
--- a/src/currantspur/pipelines/state_copies.py
+++ b/src/currantspur/pipelines/state_copies.py
@@ -73,7 +73,7 @@
     known = shortlists.by_service.get(request.service)
     if known is None:
         return copied
-    targets = ServiceTargets(states)
+    targets = ServiceTargets(states, shortlists.topology)
     copied.by_service[request.service] = targets
     object_key = request.object_key
     if object_key is not None and object_key in known.by_object:
--- a/src/currantspur/pipelines/target_outcomes.py
+++ b/src/currantspur/pipelines/target_outcomes.py
@@ -1,7 +1,7 @@
 """Learn from how attempts at a target end."""
 
 from currantspur.decisions.target_state import TargetState
-from currantspur.messages import TargetRelease
+from currantspur.messages import Assignment, TargetLoad, TargetRelease
 from currantspur.pipelines.placement_state import PlacementState
 
 # Outcomes that count as a failure of the target, and those of them that
@@ -23,6 +23,7 @@
     """Record a success, a rejection or a failure of a target."""
     if release.outcome == 'answered':
         assignment = release.assignment
+        learn_warm_capacity(assignment, release.load, target_state, state, at)
         target_state.record_success(at, assignment.request.object_key)
         state.record_latency(target_state, assignment, at)
     elif release.outcome == 'shed':
@@ -31,6 +32,35 @@
         _record_failure(release, target_state, state, at)
 
 
+def learn_warm_capacity(
+    assignment: Assignment,
+    load: TargetLoad | None,
+    target_state: TargetState,
+    state: PlacementState,
+    at: float,
+) -> None:
+    """Learn from a response whether its target kept the object warm.
+
+    Its success is recorded afterwards: that makes the object the newest one.
+    """
+    object_key = assignment.request.object_key
+    had_queue = load is not None and load.queued > 0
+    if object_key is None or had_queue or not assignment.had_free_slot:
+        return
+    warm_keys = target_state.warm_keys
+    # Warmed since by another request, which was perhaps still running then.
+    is_new = object_key in warm_keys and not assignment.is_warm
+    age = warm_keys.find_age(object_key)
+    if age is None or is_new:
+        return
+    work_s = state.measure_work_s(target_state, assignment, at)
+    times = state.work_times_for(assignment.request)
+    if times.looks_warm(work_s):
+        warm_keys.capacity.record(age, was_warm=True)
+    elif times.looks_cold(work_s):
+        warm_keys.capacity.record(age, was_warm=False)
+
+
 def _record_failure(
     release: TargetRelease,
     target_state: TargetState,
--- a/src/currantspur/state_metrics.py
+++ b/src/currantspur/state_metrics.py
@@ -1,7 +1,10 @@
 """Gauges of the state that an instance decides by, and of its age."""
 
 from collections.abc import Mapping
+from functools import partial
 
+from currantspur.decisions.object_moves import MoveCause
+from currantspur.decisions.warm_objects import MAX_WARM_OBJECTS
 from currantspur.tasks import (
     AdmissionTask,
     Clock,
@@ -38,6 +41,7 @@
     for table, follower in followers.items():
         _register_age(metrics, clock, table, follower)
     _register_targets(metrics, clock, dispatcher)
+    _register_objects(metrics, dispatcher)
     _register_limits(metrics, dispatcher)
 
 
@@ -105,6 +109,30 @@
     )
 
 
+def _register_objects(metrics: Metrics, dispatcher: Dispatcher) -> None:
+    capacities = dispatcher.placement_state.warm_capacities
+    metrics.add_gauge(
+        'warm_objects_limit',
+        'Objects that a target keeps warm, of the service with the fewest.',
+        lambda: min(
+            (capacity.limit for capacity in capacities.values()),
+            default=MAX_WARM_OBJECTS,
+        ),
+    )
+    moves = dispatcher.object_journal.moves
+    metrics.add_gauges(
+        'objects_moved',
+        'Objects that changed their target, since the start.',
+        label='cause',
+        reads={cause: partial(moves.count, cause) for cause in MoveCause},
+    )
+    metrics.add_gauge(
+        'fullest_target_share',
+        'Largest share of objects as a multiple of what the slots are due.',
+        dispatcher.object_journal.find_fullest,
+    )
+
+
 def _register_limits(metrics: Metrics, dispatcher: Dispatcher) -> None:
     metrics.add_gauge(
         'repeats_left',
