--- a/src/currantspur/settings/daemon.py
+++ b/src/currantspur/settings/daemon.py
@@ -9,6 +9,12 @@
 # Any of these keys marks a document as daemon settings.
 DAEMON_KEYS = frozenset(('instance', 'listen', 'peer', 'store'))
 MAX_GRACE_S = 3600.0
+# Memory and descriptors of the smallest machine that instances run on.
+DEFAULT_MEMORY_MB = 152.0
+DEFAULT_MAX_FDS = 1024.0
+# An instance without any client takes 31 to 39 MB, and a few dozen descriptors.
+MIN_MEMORY_MB = 64.0
+MIN_MAX_FDS = 96.0
 DEFAULT_LIMITS = FleetLimits()
 
 
@@ -27,6 +33,8 @@
     - ``collector``: address of an OTLP collector, or None for no tracing.
     - ``link_mbps``: bandwidth of the network link in Mbit/s, 0 if unknown.
     - ``first_start``: whether the whole fleet starts for the first time.
+    - ``memory_mb``: memory of the machine, of which a part is for clients.
+    - ``max_fds``: file descriptors that the process may open.
     """
 
     __slots__ = (
@@ -38,6 +46,8 @@
         'limits',
         'link_mbps',
         'listen',
+        'max_fds',
+        'memory_mb',
         'metrics',
         'peer',
         'ready',
@@ -61,7 +71,11 @@
         collector: str | None = None,
         link_mbps: float = 0.0,
         first_start: bool = False,
+        memory_mb: float = DEFAULT_MEMORY_MB,
+        max_fds: float = DEFAULT_MAX_FDS,
     ) -> None:
+        self.memory_mb = memory_mb
+        self.max_fds = max_fds
         self.first_start = first_start
         self.link_mbps = link_mbps
         self.instance = instance
@@ -100,6 +114,10 @@
         collector=_read_collector(root),
         link_mbps=root.number('link_mbps', 0.0),
         first_start=root.flag('first_start', default=False),
+        memory_mb=root.number(
+            'memory_mb', DEFAULT_MEMORY_MB, low=MIN_MEMORY_MB
+        ),
+        max_fds=root.number('max_fds', DEFAULT_MAX_FDS, low=MIN_MAX_FDS),
     )
     root.check_keys()
     document.raise_findings()
--- a/src/currantspur/soak/processes.py
+++ b/src/currantspur/soak/processes.py
@@ -73,4 +73,6 @@
         'peer': settings.peer,
         'metrics': settings.metrics,
         'store': settings.store,
+        'memory_mb': settings.memory_mb,
+        'max_fds': settings.max_fds,
     }
