Bound the memory, descriptors and work that clients cause

Clients could take a process out of memory or stop it: with bodies that stop short of their end, heads without end, responses that nobody reads, chunks of one byte, or open connections. One guard now owns a budget of bytes and all connections of clients; decisions/byte_budget.py decides who gets bytes, who waits and who is closed first. Sockets are read 16 KiB at a time, bodies are held once, refused requests are answered before their body is dropped, and header_timeout_s, idle_timeout_s and max_header_bytes hold with a margin.

tests/test_untrusted_clients.py: the crowds and bounds (152 MB of peak resident memory, 256 descriptors) were fixed before the product was changed.

tests/test_odd_heads.py builds the handler with a guard; its checks are unchanged.

--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from currantspur.background_tasks import BackgroundTasks
+from currantspur.client_limits import AddressKey, ClientLimits
 from currantspur.decisions.table_sources import (
     STORE_SOURCE,
     count_relays,
@@ -43,17 +44,17 @@
     Task,
 )
 from currantspur.tasks.registrar import INSTANCES_TABLE
-from currantspur.tasks.tracing import NoTracer, Tracer
+from currantspur.tracing import open_tracer
 from currantspur.wire.heartbeats import JsonInstanceCodec, open_heartbeat_socket
 from currantspur.wire.lookup_handler import LookupHandler
 from currantspur.wire.metrics import Metrics
 from currantspur.wire.relays import HttpRelayClient, RowRelayHandler
+from currantspur.wire.request_ends import Handler
 from currantspur.wire.request_handler import RequestHandler
 from currantspur.wire.server import (
-    Handler,
     Server,
+    start_guarded_server,
     start_pipelining_server,
-    start_server,
 )
 from currantspur.wire.targets import HttpTargetClient
 
@@ -69,6 +70,7 @@
     __slots__ = (
         'admission',
         'background_tasks',
+        'client_limits',
         'clock',
         'dispatcher',
         'followers',
@@ -134,7 +136,15 @@
             is_first_start=settings.first_start,
         )
         self.followers.era_listeners.append(self.registrar.record_era)
+        self.client_limits = ClientLimits(
+            settings,
+            admission=self.admission,
+            metrics=self.metrics,
+            journal=self.journal,
+            clock=self.clock,
+        )
         self.request_handler = RequestHandler(
+            guard=self.client_limits.guard,
             forwarder=self._create_forwarder(),
             clock=self.clock,
             metrics=self.metrics,
@@ -178,6 +188,7 @@
                 )
             )
         self.background_tasks.start(self.registrar.keep_registered())
+        self.background_tasks.start(self.client_limits.guard.run())
         self.background_tasks.start(
             self.membership.send_heartbeats(self.random)
         )
@@ -225,17 +236,24 @@
             is_ready=self.is_ready,
         )
         settings = self.settings
-        endpoints: tuple[tuple[Handler, str], ...] = (
-            (lookup_handler.handle, settings.directory),
-            (lookup_handler.handle, settings.ready),
-            (self.metrics.handle_scrape, settings.metrics),
-            (self._create_relay_handler().handle, settings.peer),
+        endpoints: tuple[tuple[Handler, AddressKey], ...] = (
+            (lookup_handler.handle, 'directory'),
+            (lookup_handler.handle, 'ready'),
+            (self.metrics.handle_scrape, 'metrics'),
+            (self._create_relay_handler().handle, 'peer'),
         )
         self.servers.append(
-            await start_pipelining_server(self.request_handler, settings.listen)
+            await start_pipelining_server(
+                self.request_handler,
+                self.client_limits.find_address('listen'),
+            )
         )
-        for handler, address in endpoints:
-            self.servers.append(await start_server(handler, address))
+        for handler, key in endpoints:
+            self.servers.append(
+                await start_guarded_server(
+                    handler, self.client_limits.find_address(key)
+                )
+            )
         # Heartbeats use UDP, row requests TCP, at the same address and port.
         try:
             self.membership.heartbeat_port = await open_heartbeat_socket(
@@ -331,7 +349,7 @@
             targets=self.target_client,
             clock=self.clock,
             journal=self.journal,
-            tracer=_create_tracer(self.settings),
+            tracer=open_tracer(self.settings),
         )
 
     def _order_sources(self, view: FleetView) -> None:
@@ -342,15 +360,3 @@
         self.followers.follow_relays(
             is_relayed=sources[0] != STORE_SOURCE, has_readers=has_relays(view)
         )
-
-
-def _create_tracer(settings: DaemonSettings) -> Tracer:
-    if settings.collector is None:
-        return NoTracer()
-    # Imported here since the tracing libraries take memory that an instance
-    # without a collector saves.
-    from currantspur.wire.traces import open_otlp_tracer
-
-    return open_otlp_tracer(
-        instance=settings.instance, collector=settings.collector
-    )
--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -71,6 +71,10 @@
     """A request body exceeds the limit for callers."""
 
 
+class BudgetFullError(CurrantspurError):
+    """The bytes that clients may hold are used up."""
+
+
 class TargetError(CurrantspurError):
     """An attempt at a target failed.
 
--- a/src/currantspur/messages/configuration.py
+++ b/src/currantspur/messages/configuration.py
@@ -165,7 +165,8 @@
 class CallerLimits(Message):
     """Limits on what a caller may send and how long it may stay idle.
 
-    Only ``max_body_bytes`` is enforced; the others are read and ignored.
+    ``max_body_bytes`` is enforced exactly, the others with a margin
+    (decisions.connection_limits).
     """
 
     __slots__ = (
--- a/src/currantspur/messages/responses.py
+++ b/src/currantspur/messages/responses.py
@@ -1,5 +1,7 @@
 """Messages that carry a target's response back to the caller."""
 
+from math import inf
+
 from currantspur.messages.base import Message
 from currantspur.messages.requests import Assignment
 from currantspur.messages.targets import TargetLoad, TargetSignals
@@ -23,10 +25,11 @@
 class ResponseHead(Message):
     """Status and headers of a target's response.
 
-    ``body`` is the whole body, or None if the body follows in chunks.
+    ``body`` is the whole body, or None if the body follows in chunks. They end
+    at ``ends_at``, in seconds of the event loop, also if nobody reads them.
     """
 
-    __slots__ = ('body', 'headers', 'load', 'signals', 'status')
+    __slots__ = ('body', 'ends_at', 'headers', 'load', 'signals', 'status')
 
     def __init__(
         self,
@@ -36,7 +39,9 @@
         body: bytes | None = None,
         load: TargetLoad | None = None,
         signals: TargetSignals | None = None,
+        ends_at: float = inf,
     ) -> None:
+        self.ends_at = ends_at
         self.signals = signals
         self.status = status
         self.headers = headers
--- a/src/currantspur/tasks/forwarder.py
+++ b/src/currantspur/tasks/forwarder.py
@@ -8,6 +8,7 @@
 from currantspur.errors import (
     BodyCutError,
     BodyTooLargeError,
+    BudgetFullError,
     MailboxFullError,
     TargetError,
     TargetFailedError,
@@ -295,4 +296,10 @@
         return Refusal(code='body_too_large', detail=str(error))
     except BodyCutError as error:
         return Refusal(code='bad_request', detail=str(error))
+    except BudgetFullError as error:
+        return Refusal(
+            code='no_room',
+            detail=str(error),
+            retry_after_s=FULL_RETRY_AFTER_S,
+        )
     return None
--- a/src/currantspur/tasks/forwarding_state.py
+++ b/src/currantspur/tasks/forwarding_state.py
@@ -64,7 +64,7 @@
         self.span = span
         self.context = context
         self.outgoing_request = outgoing_request
-        self.body = b''
+        self.body: bytes | bytearray = b''
         # When the instance stops, in monotonic seconds.
         self.ends_at = float('inf')
         # All failed attempts, and those that reached a target or may have.
--- a/src/currantspur/tasks/ports.py
+++ b/src/currantspur/tasks/ports.py
@@ -69,7 +69,7 @@
         self,
         target: Target,
         outgoing_request: OutgoingRequest,
-        body: bytes,
+        body: bytes | bytearray,
         *,
         team: str | None,
         timeout_s: float,
@@ -109,5 +109,9 @@
     __slots__ = ()
 
     @abstractmethod
-    async def read(self, limit_bytes: int) -> bytes:
-        """Return the whole body; raise BodyTooLargeError or BodyCutError."""
+    async def read(self, limit_bytes: int) -> bytes | bytearray:
+        """Return the whole body.
+
+        Raise BodyTooLargeError, BodyCutError, or BudgetFullError if there is
+        no room for it.
+        """
--- a/src/currantspur/wire/metrics.py
+++ b/src/currantspur/wire/metrics.py
@@ -13,6 +13,7 @@
     """Register the counters and histograms of one instance."""
 
     __slots__ = (
+        'clients_limited',
         'exchanges',
         'lines_lost',
         'lookups',
@@ -36,6 +37,12 @@
             ('outcome',),
             registry=self.registry,
         )
+        self.clients_limited = Counter(
+            'currantspur_clients_limited',
+            'Requests refused and connections closed by limits on clients.',
+            ('reason',),
+            registry=self.registry,
+        )
         self.lookups = Counter(
             'currantspur_lookups',
             'Look-ups answered.',
--- a/src/currantspur/wire/pipelining.py
+++ b/src/currantspur/wire/pipelining.py
@@ -10,10 +10,18 @@
 from aiohttp import web
 from aiohttp.http import RawRequestMessage
 
+from currantspur.wire.client_guard import ClientGuard
+from currantspur.wire.guarded_connections import (
+    GuardedConnection,
+    GuardedServer,
+)
 from currantspur.wire.response_heads import make_request
 
 # Further requests of a connection wait until one of these is answered.
 MAX_EARLY_REQUESTS = 16
+# Counted as held for each until its turn: the largest response that is read
+# whole (BUFFERED_RESPONSE_LIMIT_BYTES in wire.targets).
+EARLY_RESPONSE_BYTES = 262_144
 # Only requests without a body begin early: a body arrives in its turn.
 EARLY_METHODS: Final = frozenset(('GET', 'HEAD'))
 
@@ -42,7 +50,7 @@
         """Answer a request in its turn."""
 
 
-class PipelinedConnection(web.RequestHandler):
+class PipelinedConnection(GuardedConnection):
     """The connection of a caller that may send several requests at once."""
 
     __slots__ = (
@@ -55,10 +63,11 @@
     def __init__(
         self,
         manager: web.Server,
+        guard: ClientGuard,
         early_handler: EarlyRequestHandler,
         **options: Any,
     ) -> None:
-        super().__init__(manager, **options)
+        super().__init__(manager, guard, **options)
         self.early_handler = early_handler
         # By the headers of their messages, in the order of arrival.
         self.early_requests: dict[int, EarlyRequest] = {}
@@ -75,6 +84,8 @@
     def take_early(self, request: web.BaseRequest) -> EarlyRequest | None:
         """Return the request, whose turn it is, if it began early."""
         early = self.early_requests.pop(id(request.headers), None)
+        if early is not None:
+            self.guard.take(self.holder, -EARLY_RESPONSE_BYTES)
         self._notice_last_early()
         if self.is_closing_late:
             self.close()
@@ -123,14 +134,21 @@
             may_begin = message.method in EARLY_METHODS and payload.is_eof()
             if not may_begin or len(self.early_requests) >= MAX_EARLY_REQUESTS:
                 return
-            key = id(message.headers)
-            if key not in self.early_requests:
-                self.early_requests[key] = self.early_handler.begin_early(
-                    message
-                )
+            if not self._begin_early(message):
+                return
+
+    def _begin_early(self, message: RawRequestMessage) -> bool:
+        """Begin a request, unless its response has no room before its turn."""
+        key = id(message.headers)
+        if key in self.early_requests:
+            return True
+        if not self.guard.try_take(self.holder, EARLY_RESPONSE_BYTES):
+            return False
+        self.early_requests[key] = self.early_handler.begin_early(message)
+        return True
 
 
-class PipeliningServer(web.Server):
+class PipeliningServer(GuardedServer):
     """Serve connections whose requests may be pipelined."""
 
     def __init__(
@@ -141,10 +159,14 @@
         )
         self.early_handler = early_handler
 
-    def __call__(self) -> web.RequestHandler:
-        """Return the protocol of a new connection."""
+    def make_connection(self) -> GuardedConnection:
+        """Return a connection that is not open yet."""
         return PipelinedConnection(
-            self, self.early_handler, loop=self._loop, **self._kwargs
+            self,
+            self.guard,
+            self.early_handler,
+            loop=self._loop,
+            **self._kwargs,
         )
 
 
--- a/src/currantspur/wire/request_handler.py
+++ b/src/currantspur/wire/request_handler.py
@@ -2,29 +2,28 @@
 
 import asyncio
 from collections.abc import AsyncGenerator, Iterator, Mapping
-from typing import Any, Final
+from typing import Any
 from uuid import uuid4
 
 from aiohttp import web
 from aiohttp.http import RawRequestMessage
 
-from currantspur.errors import (
-    BodyCutError,
-    BodyTooLargeError,
-    TargetError,
-)
+from currantspur.errors import TargetError
 from currantspur.messages import (
     IncomingRequest,
     OutgoingRequest,
     Refusal,
-    ResponseChunk,
     ResponseHead,
 )
 from currantspur.pipelines.placement_refusals import STOPPING_RETRY_AFTER_S
 from currantspur.tasks.clock import Clock
-from currantspur.tasks.forwarder import RequestForwarder, ResponsePart
+from currantspur.tasks.forwarder import (
+    FULL_RETRY_AFTER_S,
+    RequestForwarder,
+    ResponsePart,
+)
 from currantspur.tasks.ports import BodySource
-from currantspur.wire.bodies import read_bounded
+from currantspur.wire.client_guard import ClientGuard
 from currantspur.wire.forwarded_request import ForwardedRequest
 from currantspur.wire.metrics import Metrics
 from currantspur.wire.names import (
@@ -38,6 +37,8 @@
     has_early_requests,
     take_early_request,
 )
+from currantspur.wire.request_bodies import EMPTY_BODY, HttpBody
+from currantspur.wire.request_ends import send_whole, write_parts
 from currantspur.wire.responses import (
     encode_refusal,
     make_buffered_response,
@@ -58,6 +59,7 @@
         'clock',
         'forwarded_requests',
         'forwarder',
+        'guard',
         'is_draining',
         'metrics',
         'names',
@@ -71,7 +73,9 @@
         clock: Clock,
         metrics: Metrics,
         names: ProtocolNames,
+        guard: ClientGuard,
     ) -> None:
+        self.guard = guard
         self.forwarder = forwarder
         self.clock = clock
         self.metrics = metrics
@@ -99,6 +103,7 @@
         is_last = not has_early_requests(request)
         if self.is_draining and is_last and not response.prepared:
             response.force_close()
+        await send_whole(request, response)
         return response
 
     def start_draining(self, *, ends_at: float) -> None:
@@ -148,26 +153,36 @@
         return forwarded
 
     async def _forward(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = HttpBody(request, self.guard)
         early = take_early_request(request)
-        forwarded = (
-            early
-            if isinstance(early, ForwardedRequest)
-            else self._begin(
-                request.headers,
-                request.method,
-                request.raw_path,
-                HttpBody(request),
+        if isinstance(early, ForwardedRequest):
+            forwarded = early
+        elif self.guard.may_begin():
+            forwarded = self._begin(
+                request.headers, request.method, request.raw_path, body
             )
-        )
+        else:
+            return self._refuse_full(request)
         forwarded.turn.set()
         self.forwarded_requests[forwarded] = request
         try:
             return await self._respond(request, forwarded)
         finally:
             await forwarded.close()
-            self._record_end(forwarded)
+            self._record_end(forwarded, body)
+
+    def _refuse_full(self, request: web.BaseRequest) -> web.Response:
+        request_id = read_request_id(request.headers, self.names)
+        self.metrics.requests.labels('no_room').inc()
+        refusal = Refusal(
+            code='no_room',
+            detail='the instance is short of memory',
+            retry_after_s=FULL_RETRY_AFTER_S,
+        )
+        return encode_refusal(refusal, request_id, self.names)
 
-    def _record_end(self, forwarded: ForwardedRequest) -> None:
+    def _record_end(self, forwarded: ForwardedRequest, body: HttpBody) -> None:
+        body.release()
         self.forwarded_requests.pop(forwarded, None)
         duration_s = self.clock.now() - forwarded.started_at
         self.metrics.request_seconds.observe(duration_s)
@@ -245,10 +260,8 @@
             response.force_close()
         await response.prepare(request)
         try:
-            async for part in parts:
-                if isinstance(part, ResponseChunk):
-                    await response.write(part.body)
-        except TargetError:
+            await write_parts(request, response, parts, ends_at=head.ends_at)
+        except (TargetError, TimeoutError):
             self.metrics.requests.labels('cut').inc()
             # Shows the caller that the body is incomplete.
             if request.transport is not None:
@@ -286,41 +299,3 @@
     ):
         return None
     return int(timeout_ms[:MAX_TIMEOUT_DIGITS]) / MS_PER_S
-
-
-class EmptyBody(BodySource):
-    """The body of a request that has none."""
-
-    __slots__ = ()
-
-    async def read(self, limit_bytes: int) -> bytes:
-        """Return no bytes."""
-        return b''
-
-
-EMPTY_BODY: Final = EmptyBody()
-
-
-class HttpBody(BodySource):
-    """Read the body of an HTTP request."""
-
-    __slots__ = ('request',)
-
-    def __init__(self, request: web.BaseRequest) -> None:
-        self.request = request
-
-    async def read(self, limit_bytes: int) -> bytes:
-        """Return the whole body.
-
-        Raise BodyTooLargeError above the limit, and BodyCutError if the body
-        ends early or is malformed.
-        """
-        if not self.request.body_exists:
-            return b''
-        content_length = self.request.content_length
-        if content_length is not None and content_length > limit_bytes:
-            raise BodyTooLargeError(f'{content_length} bytes')
-        try:
-            return await read_bounded(self.request.content, limit_bytes)
-        except (web.RequestPayloadError, OSError) as error:
-            raise BodyCutError('the body was cut') from error
--- a/src/currantspur/wire/server.py
+++ b/src/currantspur/wire/server.py
@@ -1,22 +1,26 @@
 """Serve HTTP handlers at listening addresses."""
 
 import logging
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 from aiohttp import web
 from aiohttp.http import HttpProcessingError
 
+from currantspur.decisions.connection_limits import MIN_IDLE_S
 from currantspur.errors import ListenError
 from currantspur.settings.document import split_address
+from currantspur.wire.client_guard import ClientGuard
+from currantspur.wire.guarded_connections import GuardedServer
 from currantspur.wire.pipelining import EarlyRequestHandler, PipeliningServer
+from currantspur.wire.request_ends import BodyDiscarder, Handler
 
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 # Limit of the request line and of each header.
 MAX_HEADER_LINE_BYTES = 65_536
 # aiohttp would otherwise wait for open requests itself when it closes; the
 # graceful shutdown does that before.
 SHUTDOWN_TIMEOUT_S = 0.1
+# Connections that the event loop may accept before their number is checked.
+BACKLOG = 64
 
 
 class MalformedRequestFilter(logging.Filter):
@@ -65,17 +69,50 @@
         await self.runner.cleanup()
 
 
+class GuardedAddress:
+    """An address to listen at, and how many connections it takes."""
+
+    __slots__ = ('address', 'guard', 'max_connections')
+
+    def __init__(
+        self, address: str, *, guard: ClientGuard, max_connections: int
+    ) -> None:
+        self.address = address
+        self.guard = guard
+        self.max_connections = max_connections
+
+    def make_options(self) -> dict[str, Any]:
+        """Return the options of a server at this address."""
+        return {
+            'guard': self.guard,
+            'max_connections': self.max_connections,
+            **make_server_options(),
+        }
+
+
 async def start_server(handler: Handler, address: str) -> Server:
     """Serve at an IP address and port; raise ListenError if it is in use."""
     return await _start(web.Server(handler, **make_server_options()), address)
 
 
+async def start_guarded_server(
+    handler: Handler, address: GuardedAddress
+) -> Server:
+    """Serve clients whose bodies are not read."""
+    server = GuardedServer(
+        BodyDiscarder(handler).handle,
+        min_idle_s=MIN_IDLE_S,
+        **address.make_options(),
+    )
+    return await _start(server, address.address)
+
+
 async def start_pipelining_server(
-    handler: EarlyRequestHandler, address: str
+    handler: EarlyRequestHandler, address: GuardedAddress
 ) -> Server:
     """Serve requests of callers, which may be pipelined, at an address."""
-    server = PipeliningServer(handler, **make_server_options())
-    return await _start(server, address)
+    server = PipeliningServer(handler, **address.make_options())
+    return await _start(server, address.address)
 
 
 def make_server_options() -> dict[str, Any]:
@@ -93,7 +130,7 @@
     runner = web.ServerRunner(web_server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
     await runner.setup()
     host, port = split_address(address)
-    site = web.TCPSite(runner, host, port, reuse_address=True)
+    site = web.TCPSite(runner, host, port, reuse_address=True, backlog=BACKLOG)
     try:
         await site.start()
     except OSError as error:
--- a/src/currantspur/wire/targets.py
+++ b/src/currantspur/wire/targets.py
@@ -1,7 +1,7 @@
 """Send requests to targets over HTTP."""
 
 import asyncio
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator
 from http import HTTPStatus
 from math import isfinite
 from types import SimpleNamespace
@@ -25,19 +25,21 @@
     TargetSignals,
 )
 from currantspur.tasks.ports import TargetPort
+from currantspur.wire.bodies import SLICE_BYTES, SlicedBody
 from currantspur.wire.bounded_connections import BoundedConnector
 from currantspur.wire.client_middleware import disable_automatic_retry
 from currantspur.wire.names import (
-    CONTENT_LENGTH,
     RETRY_AFTER_HEADER,
     ProtocolNames,
     filter_forwarded_headers,
 )
+from currantspur.wire.response_bodies import iterate_body
 from currantspur.wire.response_heads import find_head_fault
 from currantspur.wire.sockets import open_keepalive_socket
 
 MS_PER_S = 1000
-CHUNK_BYTES = 65_536
+# The parser pauses at twice as many bytes that were not read.
+READ_BUFFER_BYTES = 65_536
 # Responses up to this size are read and checked whole before the caller gets
 # the first byte.
 BUFFERED_RESPONSE_LIMIT_BYTES = 262_144
@@ -98,7 +100,7 @@
         self,
         target: Target,
         outgoing_request: OutgoingRequest,
-        body: bytes,
+        body: bytes | bytearray,
         *,
         team: str | None,
         timeout_s: float,
@@ -110,6 +112,7 @@
         is certain whether any byte was sent.
         """
         trace = ConnectionTrace()
+        ends_at = asyncio.get_running_loop().time() + timeout_s
         headers = self._make_headers(target, outgoing_request, team, timeout_s)
         session = (
             self.single_use_session if new_connection else self.pooled_session
@@ -119,13 +122,13 @@
                 outgoing_request.method,
                 f'http://{target.address}{outgoing_request.path}',
                 headers=headers,
-                data=body or None,
+                data=_encode_body(body),
                 timeout=_make_timeout(timeout_s),
                 allow_redirects=False,
                 trace_request_ctx=trace,
             ) as response:
                 self._check_response(response, outgoing_request)
-                async for part in self._read_response(response):
+                async for part in self._read_response(response, ends_at):
                     yield part
         except (
             aiohttp.ClientConnectorError,
@@ -210,7 +213,7 @@
         )
 
     async def _read_response(
-        self, response: aiohttp.ClientResponse
+        self, response: aiohttp.ClientResponse, ends_at: float
     ) -> AsyncGenerator[ResponseHead | ResponseChunk]:
         head = ResponseHead(
             status=response.status,
@@ -219,8 +222,9 @@
             ),
             load=parse_load(response.headers.get(self.names.load_header)),
             signals=self._read_signals(response),
+            ends_at=ends_at,
         )
-        chunks = _iterate_body(response)
+        chunks = iterate_body(response)
         buffered = bytearray()
         async for chunk in chunks:
             buffered += chunk
@@ -237,6 +241,12 @@
             yield ResponseChunk(body=chunk)
 
 
+def _encode_body(body: bytes | bytearray) -> bytes | SlicedBody | None:
+    if len(body) > SLICE_BYTES:
+        return SlicedBody(memoryview(body))
+    return bytes(body) or None
+
+
 def _classify_connect_error(error: Exception, timeout_s: float) -> TargetError:
     """Return the error for a connection that was not opened.
 
@@ -249,40 +259,6 @@
     return TargetUnreachableError(type(error).__name__)
 
 
-async def _iterate_body(
-    response: aiohttp.ClientResponse,
-) -> AsyncIterator[bytes]:
-    """Yield the body; raise ClientPayloadError if a reset truncated it."""
-    closed = _get_closed_future(response)
-    async for chunk in response.content.iter_chunked(CHUNK_BYTES):
-        yield chunk
-    if closed is not None and closed.done() and closed.exception():
-        raise aiohttp.ClientPayloadError(
-            'connection reset before the end of the body'
-        )
-
-
-def _get_closed_future(
-    response: aiohttp.ClientResponse,
-) -> 'asyncio.Future[None] | None':
-    """Return the future that is done when the connection is closed.
-
-    A reset sets its exception. Return None for a framed body, which shows by
-    itself whether it is whole.
-    """
-    connection = response.connection
-    if _is_framed(response) or connection is None:
-        return None
-    protocol = connection.protocol
-    # An idle protocol is falsy: compare it with None.
-    return None if protocol is None else protocol.closed
-
-
-def _is_framed(response: aiohttp.ClientResponse) -> bool:
-    headers = response.headers
-    return 'Transfer-Encoding' in headers or CONTENT_LENGTH in headers
-
-
 def parse_load(header: str | None) -> TargetLoad | None:
     """Parse `running,queued,slots[,pace]`; return None if malformed."""
     counts = (header or '').split(',')
@@ -331,6 +307,7 @@
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         middlewares=(disable_automatic_retry,),
+        read_bufsize=READ_BUFFER_BYTES,
         skip_auto_headers=SUPPRESSED_AUTO_HEADERS,
         trace_configs=[trace],
     )
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -8,6 +8,7 @@
 
 from currantspur.errors import TargetError
 from currantspur.messages import Refusal, Target
+from currantspur.messages.configuration import CallerLimits
 from currantspur.platform import PLATFORM_NAMES
 from currantspur.settings.document import split_address
 from currantspur.standins.connections import ConnectionServer
@@ -16,13 +17,16 @@
     IDEMPOTENT_PREFIX,
     NON_IDEMPOTENT_PREFIX,
     ROUTE_HOST,
+    ListSink,
     find_free_address,
 )
 from currantspur.standins.target import RESPONSE_BODY, Behaviour
-from currantspur.tasks import SystemClock
+from currantspur.tasks import Journal, SystemClock
+from currantspur.wire.client_guard import ClientGuard
+from currantspur.wire.limit_log import LimitLog
 from currantspur.wire.metrics import Metrics
 from currantspur.wire.request_handler import RequestHandler
-from currantspur.wire.server import start_pipelining_server
+from currantspur.wire.server import GuardedAddress, start_pipelining_server
 from currantspur.wire.targets import (
     BUFFERED_RESPONSE_LIMIT_BYTES,
     HttpTargetClient,
@@ -150,14 +154,27 @@
         stack.push_async_callback(target.close)
         client = HttpTargetClient(PLATFORM_NAMES)
         stack.push_async_callback(client.close)
+        clock, metrics = SystemClock(), Metrics()
+        guard = ClientGuard(
+            limit_bytes=100_000_000,
+            get_limits=CallerLimits,
+            limit_log=LimitLog(
+                journal=Journal(sink=ListSink(), clock=clock), metrics=metrics
+            ),
+            clock=clock,
+        )
         handler = RequestHandler(
             forwarder=DirectForwarder(client, target),
-            clock=SystemClock(),
-            metrics=Metrics(),
+            clock=clock,
+            metrics=metrics,
             names=PLATFORM_NAMES,
+            guard=guard,
         )
         address = find_free_address()
-        server = await start_pipelining_server(handler, address)
+        server = await start_pipelining_server(
+            handler,
+            GuardedAddress(address, guard=guard, max_connections=100),
+        )
         stack.push_async_callback(server.close)
         reader, writer = await asyncio.open_connection(*split_address(address))
         stack.callback(writer.close)
