--- a/src/currantspur/wire/route_handler.py
+++ b/src/currantspur/wire/route_handler.py
@@ -27,8 +27,8 @@
 )
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.route_explainer import RouteExplainer
+from currantspur.wire.request_ends import Handler
 from currantspur.wire.responses import find_refusal_status
-from currantspur.wire.server import Handler
 
 ROUTE_PATH: Final = '/route'
 REQUIRED_FIELDS: Final = ('host', 'method', 'path')
--- a/src/currantspur/wire/target_sessions.py
+++ b/src/currantspur/wire/target_sessions.py
@@ -15,6 +15,8 @@
 )
 from currantspur.wire.sockets import open_keepalive_socket
 
+# The parser pauses at twice as many bytes that were not read.
+READ_BUFFER_BYTES = 65_536
 # Headers that aiohttp would add to requests that lack them.
 SUPPRESSED_AUTO_HEADERS = (
     'User-Agent',
@@ -80,6 +82,7 @@
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             middlewares=(disable_automatic_retry,),
+            read_bufsize=READ_BUFFER_BYTES,
             skip_auto_headers=SUPPRESSED_AUTO_HEADERS,
             trace_configs=[trace],
         )
