Print the names of targets left out in ASCII

A terminal of another encoding than UTF-8 failed at the sign after a cut list. A table checks the text of targets left out, of a refusal and of a rate.

--- a/src/currantspur/cli/route_text.py
+++ b/src/currantspur/cli/route_text.py
@@ -70,7 +70,11 @@
 
 def _format_names(rejects: Document) -> str:
     names = ', '.join(rejects['targets'])
-    return names if len(rejects['targets']) == rejects['count'] else f'{names}…'
+    return (
+        names
+        if len(rejects['targets']) == rejects['count']
+        else f'{names}, ...'
+    )
 
 
 def _format_candidate(candidate: Document) -> str:
--- a/tests/test_route_explanation.py
+++ b/tests/test_route_explanation.py
@@ -4,8 +4,10 @@
 import pickle
 from random import Random
 
+import orjson
 import pytest
 
+from currantspur.cli.route_text import format_route
 from currantspur.decisions.topology import Topology
 from currantspur.messages import (
     Assignment,
@@ -37,6 +39,7 @@
 from currantspur.tasks import AdmissionTask, Dispatcher, Journal
 from currantspur.tasks.mailbox import Envelope
 from currantspur.tasks.route_explainer import RouteExplainer
+from currantspur.wire.route_handler import encode_explanation
 from tests.routes import make_route
 from tests.test_admission import NullSink
 from tests.virtual import VirtualClock
@@ -446,3 +449,22 @@
     assert admission.is_held
     assert admission.is_team_known
     assert admission.context.refusal.code == 'not_ready'
+
+
+# Guards against a text that fails where targets are left out or refused.
+@pytest.mark.parametrize(
+    ('change', 'team', 'text'),
+    [
+        (drain, 'one', 'left out by leaving: 30 (s0, s1, s10,'),
+        (drain, 'one', ', ...)\nservice: 30 targets'),
+        (fill, 'one', 'refused: 503 no_room'),
+        (limit, 'slow', 'rate: 1 tokens left of 3; 1 of 1 requests'),
+        (do_nothing, 'west', 'home regions: w'),
+    ],
+)
+async def test_text_names_what_decides(change, team, text):
+    instance = Instance(make_targets('s', 3))
+    change(instance)
+    explanation = await instance.explain('keyed', team=team)
+    document = orjson.loads(encode_explanation(explanation))
+    assert text in '\n'.join(format_route(document))
