--- a/src/currantspur/settings/daemon.py
+++ b/src/currantspur/settings/daemon.py
@@ -5,12 +5,15 @@
 from currantspur.messages.base import Message
 from currantspur.messages.limits import FleetLimits
 from currantspur.settings.document import Document, NodeReader
+from currantspur.settings.machine import (
+    MIN_DEFAULT_MEMORY_MB,
+    find_memory_mb,
+)
 
 # Any of these keys marks a document as daemon settings.
 DAEMON_KEYS = frozenset(('instance', 'listen', 'peer', 'store'))
 MAX_GRACE_S = 3600.0
-# Memory and descriptors of the smallest machine that instances run on.
-DEFAULT_MEMORY_MB = 152.0
+# Fewer than the smallest machine that instances run on allows.
 DEFAULT_MAX_FDS = 1024.0
 # An instance without any client takes 31 to 39 MB, and a few dozen descriptors.
 MIN_MEMORY_MB = 64.0
@@ -71,7 +74,7 @@
         collector: str | None = None,
         link_mbps: float = 0.0,
         first_start: bool = False,
-        memory_mb: float = DEFAULT_MEMORY_MB,
+        memory_mb: float = MIN_DEFAULT_MEMORY_MB,
         max_fds: float = DEFAULT_MAX_FDS,
     ) -> None:
         self.memory_mb = memory_mb
@@ -114,9 +117,7 @@
         collector=_read_collector(root),
         link_mbps=root.number('link_mbps', 0.0),
         first_start=root.flag('first_start', default=False),
-        memory_mb=root.number(
-            'memory_mb', DEFAULT_MEMORY_MB, low=MIN_MEMORY_MB
-        ),
+        memory_mb=root.number('memory_mb', find_memory_mb(), low=MIN_MEMORY_MB),
         max_fds=root.number('max_fds', DEFAULT_MAX_FDS, low=MIN_MAX_FDS),
     )
     root.check_keys()
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -15,6 +15,7 @@
 )
 from currantspur.decisions.work_pacing import WorkPacer
 from currantspur.messages.configuration import CallerLimits
+from currantspur.settings.machine import bound_memory_mb
 
 LIMIT = 10_000_000
 LARGE = 4_000_000
@@ -133,3 +134,17 @@
     size = size_budget(memory_mb, max_fds)
     # Bodies of the default limit, 1 MiB, from 32 clients at once.
     assert 32 * 2**20 < size < memory_mb * 500_000
+
+
+# Guards against a budget that fits the machine of the developer only.
+@pytest.mark.parametrize(
+    ('machine_bytes', 'memory_mb'),
+    [
+        (0, 152.0),
+        (152_000_000, 152.0),
+        (200_000_000, 200.0),
+        (32 * 2**30, 300.0),
+    ],
+)
+def test_memory_without_a_setting(machine_bytes, memory_mb):
+    assert bound_memory_mb(machine_bytes) == memory_mb
