--- a/src/currantspur/wire/guarded_connections.py
+++ b/src/currantspur/wire/guarded_connections.py
@@ -127,6 +127,10 @@
         has_request = self._request_in_progress or bool(self._messages)
         if has_request:
             self.idle_since = at
+        elif self.queued_bytes:
+            # The head of the last request, which has ended.
+            self.queued_bytes = 0
+            self._count_buffered()
         has_begun_head = bool(self.head_bytes) or self._request_count == 0
         has_to_read = self._measure_unread(at)
         has_to_send = self.is_in_body and not self._reading_paused
--- a/tests/test_request_handler.py
+++ b/tests/test_request_handler.py
@@ -3,10 +3,12 @@
 import aiohttp
 import pytest
 
+from currantspur.settings.document import split_address
 from currantspur.standins.fleet import (
     API_KEY,
     IDEMPOTENT_PREFIX,
     NON_IDEMPOTENT_PREFIX,
+    ROUTE_HOST,
     wait_until,
 )
 from currantspur.standins.target import (
@@ -19,7 +21,12 @@
     Truncating,
     Unframed,
 )
-from tests.fleets import first_value, open_fleet, send_request
+from tests.fleets import (
+    OBJECT_PATH,
+    first_value,
+    open_fleet,
+    send_request,
+)
 
 
 async def test_request_returns_whole_target_response():
@@ -274,3 +281,35 @@
         )
         exchanges = fleet.sinks['entry-0'].fields_of_kind('exchange')
         assert {line['outcome'] for line in exchanges} == {'answered'}
+
+
+# Guards against a budget that shrinks with each request of an open connection.
+@pytest.mark.parametrize(
+    ('path', 'size'), [(OBJECT_PATH, 4000), (OBJECT_PATH, 5000), ('/none/', 9)]
+)
+async def test_bytes_of_a_request_are_returned(path, size):
+    async with open_fleet() as (fleet, session):
+        daemon = first_value(fleet.daemons)
+        budget = daemon.client_limits.guard.budget
+        for _ in range(3):
+            await send_request(
+                session, daemon, path, method='POST', data=b'x' * size
+            )
+        await wait_until(lambda: budget.held == 0)
+
+
+async def test_lost_client_returns_its_bytes():
+    async with open_fleet() as (fleet, _):
+        daemon = first_value(fleet.daemons)
+        budget = daemon.client_limits.guard.budget
+        _, writer = await asyncio.open_connection(
+            *split_address(daemon.settings.listen)
+        )
+        writer.write(
+            f'POST {OBJECT_PATH} HTTP/1.1\r\nHost: {ROUTE_HOST}\r\n'
+            f'Authorization: Bearer {API_KEY}\r\n'
+            'Content-Length: 4000\r\n\r\npart'.encode()
+        )
+        await wait_until(lambda: budget.held >= 4000)
+        writer.transport.abort()
+        await wait_until(lambda: budget.held == 0)
