Release the target of a stream whose caller reads nothing

Callers that read nothing kept the target of an answer without end busy past the route's timeout. The connection was aborted first; its loss cancelled the task before it closed the request at the target.

--- a/src/currantspur/wire/request_handler.py
+++ b/src/currantspur/wire/request_handler.py
@@ -263,6 +263,8 @@
             await write_parts(request, response, parts, ends_at=head.ends_at)
         except (TargetError, TimeoutError):
             self.metrics.requests.labels('cut').inc()
+            # First, as the loss of the connection cancels this task.
+            await parts.aclose()
             # Shows the caller that the body is incomplete.
             if request.transport is not None:
                 request.transport.abort()
