--- a/src/currantspur/decisions/explanation.py
+++ b/src/currantspur/decisions/explanation.py
@@ -17,6 +17,7 @@
     'dependency_regained',
     'history_lost',
     'leaving',
+    'overload',
     'target_leaving',
     'target_limit',
     'target_pause',
--- a/src/currantspur/decisions/membership_table.py
+++ b/src/currantspur/decisions/membership_table.py
@@ -222,6 +222,18 @@
             ),
             computed_at=at,
             busy_slots_by_region=self._sum_busy_slots(at),
+            busy_slots_by_rank=sum_by_key(
+                (
+                    *(
+                        each.busy_slots_by_rank
+                        for each in self.current_heartbeats(at)
+                    ),
+                    *(
+                        each.busy_slots_by_rank
+                        for each in self._current_digests(at)
+                    ),
+                )
+            ),
         )
 
     def live_instances(self, at: float) -> Iterator[Instance]:
--- a/src/currantspur/decisions/zone_summary.py
+++ b/src/currantspur/decisions/zone_summary.py
@@ -13,7 +13,7 @@
     """Return the digest of the own zone."""
     own = table.own_heartbeat
     counted = list(_within_zone(table.counted_heartbeats(at), table.own_zone))
-    current = _within_zone(table.current_heartbeats(at), table.own_zone)
+    current = list(_within_zone(table.current_heartbeats(at), table.own_zone))
     return ZoneDigest(
         availability_zone=table.own_zone,
         region=own.instance.region,
@@ -38,6 +38,9 @@
         busy_slots_by_service=sum_by_key(
             heartbeat.busy_slots_by_service for heartbeat in current
         ),
+        busy_slots_by_rank=sum_by_key(
+            heartbeat.busy_slots_by_rank for heartbeat in current
+        ),
         revisions=_newest_by_key(heartbeat.revisions for heartbeat in counted),
     )
 
--- a/src/currantspur/messages/__init__.py
+++ b/src/currantspur/messages/__init__.py
@@ -20,6 +20,7 @@
     TeamDemand,
     Tick,
     ZoneDigest,
+    make_rank_key,
 )
 from currantspur.messages.requests import (
     Assignment,
@@ -99,4 +100,5 @@
     'WeightedService',
     'ZoneDigest',
     'fields',
+    'make_rank_key',
 )
--- a/src/currantspur/messages/configuration.py
+++ b/src/currantspur/messages/configuration.py
@@ -38,7 +38,8 @@
       cached.
     - ``home_regions``: regions whose targets may run the requests; empty for
       all regions.
-    - ``priority``: read from the configuration, not used by any decision.
+    - ``priority``: the rank of its requests, 0 for the most urgent, unless
+      their team has one.
     """
 
     __slots__ = (
@@ -132,7 +133,8 @@
     - ``home_regions``: regions whose targets may run the requests; empty for
       all regions. Where the route has home regions too, both must allow a
       region.
-    - ``priority``: read from the configuration, not used by any decision.
+    - ``priority``: the rank of its requests, 0 for the most urgent, or None
+      for that of the route.
     """
 
     __slots__ = (
--- a/src/currantspur/messages/fleet_state.py
+++ b/src/currantspur/messages/fleet_state.py
@@ -9,6 +9,11 @@
 from currantspur.messages.targets import TargetNotice, TargetReport
 
 
+def make_rank_key(service: str, rank: int) -> str:
+    """Return the key of what requests of a rank ask for of a service."""
+    return f'{rank}:{service}'
+
+
 class Instance(Message):
     """An entry instance and the addresses at which it is reached.
 
@@ -56,6 +61,8 @@
     - ``revisions``: the newest known row revision by table.
     - ``busy_slots_by_service``: estimated slots of targets that the requests
       received here occupy.
+    - ``busy_slots_by_rank``: slots that its requests ask for, refused ones
+      included, by `make_rank_key`, of services whose requests differ in rank.
     - ``reads_digests``: the instance learns of other zones by their digests,
       and so needs no heartbeats from there; older builds do not.
     - ``target_reports``: what the instance saw of targets since its last
@@ -67,6 +74,7 @@
     """
 
     __slots__ = (
+        'busy_slots_by_rank',
         'busy_slots_by_service',
         'incarnation',
         'instance',
@@ -96,7 +104,9 @@
         target_reports: tuple[TargetReport, ...] = (),
         target_notices: tuple[TargetNotice, ...] = (),
         requests_per_s_by_target: Mapping[str, float] | None = None,
+        busy_slots_by_rank: Mapping[str, float] | None = None,
     ) -> None:
+        self.busy_slots_by_rank = busy_slots_by_rank or {}
         self.target_reports = target_reports
         self.target_notices = target_notices
         self.requests_per_s_by_target = requests_per_s_by_target or {}
@@ -120,7 +130,7 @@
     - ``live_instances``: instances of the zone that callers may use.
     - ``counted_instances``: number of its instances that divide limits.
     - ``requests_per_s_by_team``, ``requests_per_s_by_target``,
-      ``busy_slots_by_service``: sums over these.
+      ``busy_slots_by_service``, ``busy_slots_by_rank``: sums over these.
     - ``target_notices``: what targets said to its instances.
     - ``revisions``: the newest row revision by table that any of them knows.
     - ``is_relayed``: it was passed on within the zone that received it.
@@ -128,6 +138,7 @@
 
     __slots__ = (
         'availability_zone',
+        'busy_slots_by_rank',
         'busy_slots_by_service',
         'counted_instances',
         'incarnation',
@@ -160,7 +171,9 @@
         is_relayed: bool = False,
         requests_per_s_by_target: Mapping[str, float] | None = None,
         target_notices: tuple[TargetNotice, ...] = (),
+        busy_slots_by_rank: Mapping[str, float] | None = None,
     ) -> None:
+        self.busy_slots_by_rank = busy_slots_by_rank or {}
         self.requests_per_s_by_target = requests_per_s_by_target or {}
         self.target_notices = target_notices
         self.availability_zone = availability_zone
@@ -200,9 +213,12 @@
       requests for which a limited target would be the best choice.
     - ``busy_slots_by_region``: estimated slots of targets that requests
       occupy, by region of the callers, then by service.
+    - ``busy_slots_by_rank``: slots that the requests of the fleet ask for, as
+      in a Heartbeat.
     """
 
     __slots__ = (
+        'busy_slots_by_rank',
         'busy_slots_by_region',
         'caller_instances',
         'computed_at',
@@ -234,8 +250,10 @@
         senders: tuple[Instance, ...] = (),
         requests_per_s_by_target: Mapping[str, float] | None = None,
         own_requests_per_s_by_target: Mapping[str, float] | None = None,
+        busy_slots_by_rank: Mapping[str, float] | None = None,
     ) -> None:
         """Record a view; by default callers use all live instances."""
+        self.busy_slots_by_rank = busy_slots_by_rank or {}
         self.senders = senders
         self.requests_per_s_by_target = requests_per_s_by_target or {}
         self.own_requests_per_s_by_target = own_requests_per_s_by_target or {}
@@ -277,12 +295,14 @@
     """The load that this instance caused and saw.
 
     - ``busy_slots_by_service``: estimated slots that its requests occupy.
+    - ``busy_slots_by_rank``: as in a Heartbeat.
     - ``target_reports``: what it saw of targets since the last message.
     - ``target_notices``: what targets said of themselves, for the peers.
     - ``requests_per_s_by_target``: as in a Heartbeat.
     """
 
     __slots__ = (
+        'busy_slots_by_rank',
         'busy_slots_by_service',
         'requests_per_s_by_target',
         'target_notices',
@@ -296,7 +316,9 @@
         target_reports: tuple[TargetReport, ...] = (),
         target_notices: tuple[TargetNotice, ...] = (),
         requests_per_s_by_target: Mapping[str, float] | None = None,
+        busy_slots_by_rank: Mapping[str, float] | None = None,
     ) -> None:
+        self.busy_slots_by_rank = busy_slots_by_rank or {}
         self.requests_per_s_by_target = requests_per_s_by_target or {}
         self.target_reports = target_reports
         self.target_notices = target_notices
@@ -341,6 +363,6 @@
 
 
 class ShutdownStarted(Message):
-    """Notice to the membership task that this instance is shutting down."""
+    """Notice to tasks that this instance is shutting down."""
 
     __slots__ = ()
--- a/src/currantspur/messages/requests.py
+++ b/src/currantspur/messages/requests.py
@@ -123,6 +123,7 @@
       no key.
     - ``home_regions``: regions whose targets may run the request; empty for
       all regions.
+    - ``rank``: urgency of the request, 0 for the most urgent.
     - ``configuration_version``: the version applied, 0 if there is none yet.
     """
 
@@ -131,6 +132,7 @@
         'deadline',
         'home_regions',
         'max_body_bytes',
+        'rank',
         'refusal',
         'request',
         'route',
@@ -144,6 +146,7 @@
         self.route: Route | None = None
         self.service = ''
         self.team: str | None = None
+        self.rank = 0
         self.deadline = float('inf')
         self.home_regions: frozenset[str] = frozenset()
         self.refusal: Refusal | None = None
@@ -182,6 +185,7 @@
     - ``must_meet_deadline``: nobody waits past the deadline, as the instance
       stops then; the first attempt, too, goes only where a response is expected
       in time.
+    - ``rank``: urgency of the request, 0 for the most urgent.
     """
 
     __slots__ = (
@@ -191,6 +195,7 @@
         'home_regions',
         'must_meet_deadline',
         'object_key',
+        'rank',
         'request_id',
         'route',
         'service',
@@ -208,7 +213,9 @@
         attempt_number: int = 0,
         excluded_targets: frozenset[str] = NO_TARGETS,
         must_meet_deadline: bool = False,
+        rank: int = 0,
     ) -> None:
+        self.rank = rank
         self.must_meet_deadline = must_meet_deadline
         self.request_id = request_id
         self.route = route
--- a/src/currantspur/pipelines/admission.py
+++ b/src/currantspur/pipelines/admission.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Iterator
 
 from currantspur.decisions.api_key_index import ApiKeyIndex
+from currantspur.decisions.ranks import rank_of
 from currantspur.decisions.rate_meter import RateMeter
 from currantspur.decisions.rate_share import RateShare
 from currantspur.decisions.routing import RouteTable
@@ -102,6 +103,7 @@
         if route is None:
             return Refusal(code='route_unknown', detail='no route for the path')
         context.route = route
+        context.rank = rank_of(route, None)
         context.home_regions = route.home_regions
         timeout_s = route.timeout_s
         if request.timeout_s is not None:
@@ -142,6 +144,7 @@
                 code='key_unknown', detail='the key is unknown or withdrawn'
             )
         context.team = team.name
+        context.rank = rank_of(route, team.priority)
         context.home_regions = _combine_home_regions(
             context.home_regions, team.home_regions
         )
--- a/src/currantspur/pipelines/placement_refusals.py
+++ b/src/currantspur/pipelines/placement_refusals.py
@@ -7,6 +7,8 @@
 
 # A service without targets takes longer to get targets again, usually seconds.
 NO_TARGET_RETRY_AFTER_S = 0.5
+# The admitted shares of an overloaded service change with each heartbeat.
+OVERLOAD_RETRY_AFTER_S = 1.0
 # Callers of an instance that stops go to another one.
 STOPPING_RETRY_AFTER_S = 0.05
 
@@ -39,3 +41,12 @@
         detail='no target is expected to respond in time',
         retry_after_s=plan_return_s(room_s, request.request_id),
     )
+
+
+def refuse_overload(request: PlacementRequest) -> Refusal:
+    """Return the refusal beyond the admitted share of a rank."""
+    return Refusal(
+        code='no_room',
+        detail='the service is asked for more than it can run',
+        retry_after_s=plan_return_s(OVERLOAD_RETRY_AFTER_S, request.request_id),
+    )
--- a/src/currantspur/pipelines/placement_state.py
+++ b/src/currantspur/pipelines/placement_state.py
@@ -1,11 +1,13 @@
 """The state that the filters of placement read."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
 from currantspur.decisions.cost_model import (
     Candidate,
     CostModel,
 )
+from currantspur.decisions.overload import AdmittedShares, OverloadTable
+from currantspur.decisions.ranks import RankDemand
 from currantspur.decisions.shortlist import TargetShortlists
 from currantspur.decisions.spillover import SpilloverPlanner
 from currantspur.decisions.target_limits import TargetLimits
@@ -31,6 +33,8 @@
         'cost_model',
         'evacuated_zones',
         'instance_name',
+        'overload',
+        'rank_demand',
         'shortlists',
         'signals',
         'spillover',
@@ -54,6 +58,9 @@
         self.spillover = SpilloverPlanner(
             shift_cap=shift_cap, region=topology.region
         )
+        # Like the meter of the planner, it first spans from time 0.
+        self.rank_demand = RankDemand(0.0)
+        self.overload = OverloadTable()
         self.cost_model = CostModel(topology)
         self.shortlists = TargetShortlists(topology, instance_name)
         self.signals = SignalTable()
@@ -86,6 +93,7 @@
         """Count a request in the load from which all regions plan."""
         work_s = self.work_times_for(request).mean_work_s
         self.work_s_by_service[request.service] = work_s
+        self.rank_demand.count(request.service, request.rank, work_s)
         busy_slots = self.spillover.record_request(request.service, work_s, at)
         if busy_slots is not None:
             slots = self._sum_effective_slots(request.service, at)
@@ -114,6 +122,20 @@
         times.update(work_s, is_warm=is_warm)
         target_state.record_latency_ratio(work_s / expected_s, at)
 
+    def update_overload(
+        self, busy_slots_by_rank: Mapping[str, float], at: float
+    ) -> Iterator[AdmittedShares]:
+        """Compute the admitted shares; yield those that changed much."""
+        ranks_by_service = self.rank_demand.ranks_by_service
+        return self.overload.update(
+            ranks_by_service,
+            busy_slots_by_rank,
+            {
+                service: sum(self._sum_effective_slots(service, at).values())
+                for service in ranks_by_service
+            },
+        )
+
     def work_times_for(self, request: PlacementRequest) -> WorkTimeEstimator:
         """Return the estimator of the request's route, a new one if needed."""
         estimator = self.work_times.get(request.route.name)
--- a/src/currantspur/state_metrics.py
+++ b/src/currantspur/state_metrics.py
@@ -100,6 +100,11 @@
         'Repeats that this instance may send now.',
         dispatcher.retry_budgets.count_retries_left,
     )
+    metrics.add_gauge(
+        'least_admitted_share',
+        'Least part of the requests of any rank that is admitted.',
+        dispatcher.placement_state.overload.find_least_share,
+    )
     metrics.add_gauge(
         'spill_share',
         'Largest share of a service that goes to other regions.',
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -36,12 +36,16 @@
     choose_target,
     find_wanted,
 )
-from currantspur.pipelines.placement_refusals import refuse_placement
+from currantspur.pipelines.placement_refusals import (
+    refuse_overload,
+    refuse_placement,
+)
 from currantspur.pipelines.placement_state import PlacementState
 from currantspur.pipelines.target_outcomes import record_outcome
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.journal import Journal
 from currantspur.tasks.mailbox import Envelope
+from currantspur.tasks.overload_log import log_admitted_shares
 from currantspur.tasks.signal_recorder import SignalRecorder
 from currantspur.tasks.startup_hold import StartupHold
 from currantspur.tasks.task import Task
@@ -148,6 +152,9 @@
         spillover = self.placement_state.spillover
         return ServiceLoad(
             busy_slots_by_service=spillover.measure_busy_slots(now),
+            busy_slots_by_rank=(
+                self.placement_state.rank_demand.measure_busy_slots(now)
+            ),
             target_reports=self.report_collector.take_reports(),
             target_notices=self.signal_recorder.list_notices(now),
             requests_per_s_by_target=(
@@ -176,6 +183,11 @@
         if not request.attempt_number:
             # Also true after attempts that reached no target.
             budget.record_request()
+            if not self.placement_state.overload.admits(
+                request.service, request.rank
+            ):
+                self.placement_state.record_request(request, now)
+                return refuse_overload(request)
         limits = self.placement_state.target_limits
         wanted = find_wanted(request, self.placement_state, now)
         if wanted is not None:
@@ -229,6 +241,7 @@
         if configuration.version <= self.configuration.version:
             return
         self.configuration = configuration
+        self.placement_state.rank_demand.configure(configuration)
         self.placement_state.target_limits.cold_per_s_by_service = {
             service.name: service.cold_requests_per_s
             for service in configuration.services
@@ -332,6 +345,12 @@
     def _apply_fleet_view(self, view: FleetView) -> None:
         self.placement_state.target_limits.update_view(view)
         self._plan_spillover(view)
+        log_admitted_shares(
+            self.journal,
+            self.placement_state.update_overload(
+                view.busy_slots_by_rank, self.clock.now()
+            ),
+        )
         self.retry_budgets.update_limit_divisor(
             limit_divisor=view.limit_divisor, at=view.computed_at
         )
--- a/src/currantspur/tasks/forwarding_state.py
+++ b/src/currantspur/tasks/forwarding_state.py
@@ -117,6 +117,7 @@
             home_regions=context.home_regions,
             attempt_number=self.reached_attempts,
             excluded_targets=self.tried_targets,
+            rank=context.rank,
         )
 
     def can_retry(self, at: float) -> bool:
--- a/src/currantspur/tasks/membership.py
+++ b/src/currantspur/tasks/membership.py
@@ -212,6 +212,7 @@
     def _update_busy_slots(self, load: ServiceLoad) -> None:
         own = self.membership_table.own_heartbeat
         own.busy_slots_by_service = load.busy_slots_by_service
+        own.busy_slots_by_rank = load.busy_slots_by_rank
         own.target_reports = load.target_reports
         own.target_notices = load.target_notices
         own.requests_per_s_by_target = load.requests_per_s_by_target
--- a/src/currantspur/wire/heartbeats.py
+++ b/src/currantspur/wire/heartbeats.py
@@ -133,6 +133,7 @@
     rates = heartbeat.requests_per_s_by_team
     # The first ones matter most, where not all fit.
     optional_parts = {
+        'ranks': round_slots(heartbeat.busy_slots_by_rank),
         'limited': round_rates(heartbeat.requests_per_s_by_target),
         'signals': [notice_to_dict(each) for each in heartbeat.target_notices],
         'targets': [
@@ -172,6 +173,7 @@
         # Older builds send none.
         target_notices=tuple(map(parse_notice, document.get('signals', ()))),
         requests_per_s_by_target=parse_amounts(document.get('limited', {})),
+        busy_slots_by_rank=parse_amounts(document.get('ranks', {})),
     )
 
 
--- a/src/currantspur/wire/zone_digests.py
+++ b/src/currantspur/wire/zone_digests.py
@@ -37,6 +37,7 @@
         'work': round_slots(digest.busy_slots_by_service),
     }
     optional_parts = {
+        'ranks': round_slots(digest.busy_slots_by_rank),
         'limited': round_rates(digest.requests_per_s_by_target),
         'signals': [notice_to_dict(each) for each in digest.target_notices],
     }
@@ -74,7 +75,8 @@
         revisions=parse_revisions(document),
         busy_slots_by_service=parse_amounts(document['work']),
         requests_per_s_by_team=parse_amounts(document['demand']),
-        # Older builds send neither.
+        # Older builds send none of these.
+        busy_slots_by_rank=parse_amounts(document.get('ranks', {})),
         requests_per_s_by_target=parse_amounts(document.get('limited', {})),
         target_notices=tuple(map(parse_notice, document.get('signals', ()))),
     )
