Show the admission of overloaded services in explanations

currantspur route tells the admitted share of the rank, and that a request would be refused by it, without counting one.

--- a/src/currantspur/cli/route_text.py
+++ b/src/currantspur/cli/route_text.py
@@ -65,6 +65,11 @@
         yield f'compared: {len(candidates)} of {count} targets, cost in seconds'
     for candidate in candidates:
         yield f'  {_format_candidate(candidate)}'
+    if placement['admitted_share'] < 1:
+        yield (
+            'the service is overloaded and admits '
+            f'{placement["admitted_share"]:.2f} of the requests of this rank'
+        )
     yield f'region shift: {_format_shift(placement["shift"])}'
 
 
--- a/src/currantspur/decisions/overload.py
+++ b/src/currantspur/decisions/overload.py
@@ -86,13 +86,18 @@
 
     def admits(self, rank: int) -> bool:
         """Tell whether the next request of a rank is admitted."""
-        share = self.shares.get(rank, 1.0)
-        if share >= 1:
-            return True
-        credit = self.credits.get(rank, 0.0) + share
+        credit = self._next_credit(rank)
         self.credits[rank] = credit - int(credit)
         return credit >= 1
 
+    def would_admit(self, rank: int) -> bool:
+        """Tell what admits() would return, without counting a request."""
+        return self._next_credit(rank) >= 1
+
+    def find_share(self, rank: int) -> float:
+        """Return the admitted share of a rank."""
+        return self.shares.get(rank, 1.0)
+
     def take_change(self) -> bool:
         """Tell whether a share changed much since this was last true."""
         is_changed = any(
@@ -103,6 +108,10 @@
             self.logged = dict(self.shares)
         return is_changed
 
+    def _next_credit(self, rank: int) -> float:
+        share = self.find_share(rank)
+        return 1.0 if share >= 1 else self.credits.get(rank, 0.0) + share
+
 
 class OverloadTable:
     """The admission of all services whose requests have several ranks.
@@ -115,10 +124,9 @@
     def __init__(self) -> None:
         self.by_service: dict[str, ServiceAdmission] = {}
 
-    def admits(self, service: str, rank: int) -> bool:
-        """Tell whether the next request of a rank is admitted."""
-        admission = self.by_service.get(service)
-        return admission is None or admission.admits(rank)
+    def find(self, service: str) -> ServiceAdmission:
+        """Return the admission of a service, which may admit all requests."""
+        return self.by_service.get(service) or ServiceAdmission()
 
     def update(
         self,
--- a/src/currantspur/messages/route_explanations.py
+++ b/src/currantspur/messages/route_explanations.py
@@ -223,9 +223,12 @@
     - ``candidates``: the chosen target, then the others by cost; at most
       MAX_CANDIDATES of ``candidate_count``.
     - ``is_held``: the request would first wait for targets.
+    - ``admitted_share``: the part of the requests of its rank that the service
+      admits; 1 unless it is overloaded.
     """
 
     __slots__ = (
+        'admitted_share',
         'candidate_count',
         'candidates',
         'is_held',
@@ -245,7 +248,9 @@
         shift: ShiftExplanation,
         refusal: Refusal | None = None,
         is_held: bool = False,
+        admitted_share: float = 1.0,
     ) -> None:
+        self.admitted_share = admitted_share
         self.target = target
         self.candidates = candidates
         self.candidate_count = candidate_count
--- a/src/currantspur/pipelines/route_explanation.py
+++ b/src/currantspur/pipelines/route_explanation.py
@@ -10,7 +10,6 @@
 from currantspur.messages import (
     PlacementRequest,
     RequestContext,
-    Route,
     Team,
 )
 from currantspur.messages.route_explanations import (
@@ -28,7 +27,10 @@
 )
 from currantspur.pipelines.placement import choose_target
 from currantspur.pipelines.placement_recorder import PlacementRecorder
-from currantspur.pipelines.placement_refusals import refuse_placement
+from currantspur.pipelines.placement_refusals import (
+    refuse_overload,
+    refuse_placement,
+)
 from currantspur.pipelines.placement_state import PlacementState
 from currantspur.pipelines.state_copies import (
     copy_admission,
@@ -69,7 +71,7 @@
         context=context,
         is_host_known=state.routes.has_host(request.host),
         is_team_known=team is not None or not query.team or not state.version,
-        rank=find_rank(context.route, team if is_of_team else None),
+        rank=None if context.route is None else context.rank,
         rate=(
             _explain_rate(team, state, request.received_at)
             if team is not None and is_of_team
@@ -78,13 +80,6 @@
     )
 
 
-def find_rank(route: Route | None, team: Team | None) -> int | None:
-    """Return the priority of the team if it has one, else of the route."""
-    if team is not None and team.priority is not None:
-        return team.priority
-    return None if route is None else route.priority
-
-
 def explain_placement(
     request: PlacementRequest, state: PlacementState, at: float
 ) -> PlacementExplanation:
@@ -93,17 +88,26 @@
     recorder = PlacementRecorder()
     chosen = choose_target(request, copied, at, recorder)
     listed = _order_candidates(recorder.candidates, chosen)
+    admission = state.overload.find(request.service)
+    refusal = None
+    if not admission.would_admit(request.rank):
+        refusal = refuse_overload(request)
+    elif chosen is None:
+        refusal = refuse_placement(request, copied, at)
     return PlacementExplanation(
-        target=None if chosen is None else chosen.state.target.name,
+        target=(
+            None
+            if chosen is None or refusal is not None
+            else chosen.state.target.name
+        ),
+        admitted_share=admission.find_share(request.rank),
         candidates=tuple(
             _explain_candidate(each, copied) for each in listed[:MAX_CANDIDATES]
         ),
         candidate_count=len(listed),
         passes=tuple(recorder.passes),
         shift=_explain_shift(request, copied, recorder, at),
-        refusal=(
-            refuse_placement(request, copied, at) if chosen is None else None
-        ),
+        refusal=refusal,
     )
 
 
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -198,9 +198,8 @@
         if not request.attempt_number:
             # Also true after attempts that reached no target.
             budget.record_request()
-            if not self.placement_state.overload.admits(
-                request.service, request.rank
-            ):
+            admission = self.placement_state.overload.find(request.service)
+            if not admission.admits(request.rank):
                 self.placement_state.record_request(request, now)
                 return refuse_overload(request)
         limits = self.placement_state.target_limits
