--- a/src/currantspur/messages/__init__.py
+++ b/src/currantspur/messages/__init__.py
@@ -14,13 +14,15 @@
     Heartbeat,
     Instance,
     ListedInstances,
+    ZoneDigest,
+    make_rank_key,
+)
+from currantspur.messages.instance_load import (
     ServiceLoad,
     ShutdownStarted,
     SpillPlan,
     TeamDemand,
     Tick,
-    ZoneDigest,
-    make_rank_key,
 )
 from currantspur.messages.requests import (
     Assignment,
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -35,14 +35,12 @@
 )
 from currantspur.messages.limits import FleetLimits
 from currantspur.messages.revisions import get_version
-from currantspur.pipelines.placement import (
-    choose_target,
-    find_wanted,
-)
-from currantspur.pipelines.placement_refusals import (
-    refuse_overload,
-    refuse_placement,
+from currantspur.pipelines.assignment import (
+    admit_attempt,
+    assign,
+    find_candidate,
 )
+from currantspur.pipelines.placement_refusals import refuse_placement
 from currantspur.pipelines.placement_state import PlacementState
 from currantspur.pipelines.target_outcomes import record_outcome
 from currantspur.tasks.clock import Clock
@@ -192,44 +190,16 @@
     def _assign(
         self, request: PlacementRequest, now: float
     ) -> Assignment | Refusal:
-        budget = self.retry_budgets.get_or_create(request.service)
-        if request.attempt_number and not budget.try_consume(now):
-            return Refusal(code='no_room', detail='no repeat is left')
-        if not request.attempt_number:
-            # Also true after attempts that reached no target.
-            budget.record_request()
-            admission = self.placement_state.overload.find(request.service)
-            if not admission.admits(request.rank):
-                self.placement_state.record_request(request, now)
-                return refuse_overload(request)
-        limits = self.placement_state.target_limits
-        wanted = find_wanted(request, self.placement_state, now)
-        if wanted is not None:
-            limits.count_demand(wanted, now)
-        candidate = choose_target(request, self.placement_state, now)
-        if not request.attempt_number:
-            self.placement_state.record_request(request, now)
+        refusal = admit_attempt(
+            request, self.placement_state, self.retry_budgets, now
+        )
+        if refusal is not None:
+            return refusal
+        candidate = find_candidate(request, self.placement_state, now)
         if candidate is None:
             return refuse_placement(request, self.placement_state, now)
-        state = candidate.state
-        self.object_journal.count_move(request, state, now)
-        state.own_in_flight += 1
-        self.placement_state.spillover.limiter_for(request.service).record_sent(
-            is_cross_region=self.placement_state.is_cross_region(candidate)
-        )
-        if not candidate.is_warm:
-            state.warmup_sent_at = now
-        if state.rate_share is not None:
-            state.rate_share.consume_or_wait_s(now)
-        return Assignment(
-            request=request,
-            target=state.target,
-            assigned_at=now,
-            expected_s=candidate.expected_s,
-            is_warm=candidate.is_warm,
-            had_free_slot=candidate.is_free,
-            rank=candidate.rank,
-        )
+        self.object_journal.count_move(request, candidate.state, now)
+        return assign(request, candidate, self.placement_state, now)
 
     def _record_signals(
         self, response: TargetRelease | ResponseStarted
--- a/tests/test_route_explanation.py
+++ b/tests/test_route_explanation.py
@@ -457,7 +457,7 @@
     ('change', 'team', 'text'),
     [
         (drain, 'one', 'left out by leaving: 30 (s0, s1, s10,'),
-        # All targets were compared as the shortlist, so there is no second pass.
+        # The shortlist has all targets, so there is no second pass.
         (drain, 'one', ', ...)\nregion shift:'),
         (fill, 'one', 'refused: 503 no_room'),
         (limit, 'slow', 'rate: 1 tokens left of 3; 1 of 1 requests'),
--- a/tests/test_zone_digests.py
+++ b/tests/test_zone_digests.py
@@ -15,7 +15,7 @@
 )
 from currantspur.decisions.rate_share import share_rate
 from currantspur.messages import Instance, ListedInstances, TeamDemand
-from currantspur.messages.fleet_state import ShutdownStarted, Tick
+from currantspur.messages.instance_load import ShutdownStarted, Tick
 from currantspur.tasks import Journal, Mailbox, Membership
 from currantspur.tasks.membership import HEARTBEAT_INTERVAL_S
 from currantspur.wire.heartbeats import decode_datagram, encode_datagram
