Leave a relay whose whole table is older than the known rows

Readers ahead of their cut-off relay lost their history and asked it for the whole table; they refused its old rows, but the relay got no cooldown and was asked again until the cut healed, and the store never was.

Such a source gets a cooldown now, and the store or the newest peer is asked next. The expected calls of one case of tests/test_table_follower.py gain the report of the stale source.

--- a/src/currantspur/tasks/table_follower.py
+++ b/src/currantspur/tasks/table_follower.py
@@ -261,6 +261,9 @@
 
     def _replace(self, response: RowsResponse) -> None:
         if response.revision < self.highest_revision:
+            # A relay that lost the store gives a whole table at once. Without a
+            # cooldown it would be asked again, and not the store.
+            self._change_source()
             raise StoreAwayError('the response is older than the known rows')
         known_era = get_era(self.highest_revision)
         if 0 <= known_era < get_era(response.revision):
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -163,7 +163,7 @@
                 make_response(4, a=b'1'),
                 make_response(9, a=b'2'),
             ],
-            ['read', 'poll 9', 'read', 'read', 'poll 9'],
+            ['read', 'poll 9', 'read', 'stale op', 'read', 'poll 9'],
             {'a': b'2'},
         ),
     ],
