--- a/src/currantspur/decisions/overload.py
+++ b/src/currantspur/decisions/overload.py
@@ -12,9 +12,9 @@
 from currantspur.messages.base import Message
 
 # Work that is admitted for each slot. The work of a request is estimated by the
-# mean of late, which is too high while objects become warm: a bound below the
-# slots refused requests that targets could still run in time.
-MAX_WORK_PER_SLOT = 1.3
+# mean of late, which is up to three times too high while objects become warm: a
+# lower bound refused requests that targets could still run in time.
+MAX_WORK_PER_SLOT = 2.0
 # Each rank gets at least this part of the share that all would get together, so
 # that none starves.
 MIN_SHARE_FACTOR = 0.4
