--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -5,6 +5,7 @@
 
 from currantspur.background_tasks import BackgroundTasks
 from currantspur.client_limits import AddressKey, ClientLimits
+from currantspur.decisions.idle_connections import bound_idle_connections
 from currantspur.decisions.table_sources import (
     STORE_SOURCE,
     count_relays,
@@ -111,7 +112,10 @@
         )
         self.row_relay = RowRelay(clock=self.clock)
         self.target_client = HttpTargetClient(
-            PLATFORM_NAMES, self.metrics, self.journal
+            PLATFORM_NAMES,
+            self.metrics,
+            self.journal,
+            max_idle=bound_idle_connections(settings.max_fds),
         )
         self.admission = AdmissionTask(
             clock=self.clock, instance=settings.instance, journal=self.journal
--- a/src/currantspur/decisions/idle_connections.py
+++ b/src/currantspur/decisions/idle_connections.py
@@ -9,9 +9,9 @@
 MARGIN_S = 1.0
 # Longer idle times save few connections and hold descriptors.
 MAX_IDLE_S = 30.0
-# A quarter of the 1,535 descriptors of the smallest machine; the others are for
-# callers, busy targets and peers.
-MAX_IDLE_CONNECTIONS = 383
+# Of the descriptors that the process may open; the others are for callers, busy
+# targets, the store and peers.
+IDLE_FD_SHARE = 0.25
 # Part of the idle time at which a target closed a connection. Its timer may
 # run from its last byte, and for a connection that it opened long before.
 LEARNED_FACTOR = 0.5
@@ -35,6 +35,11 @@
     return min(MAX_IDLE_S, max(0.0, announced_s - MARGIN_S))
 
 
+def bound_idle_connections(max_fds: float) -> int:
+    """Return how many connections may be idle in a process."""
+    return max(1, int(IDLE_FD_SHARE * max_fds))
+
+
 class IdleTimes:
     """Learn by address for how long a target keeps idle connections."""
 
--- a/src/currantspur/wire/pooled_connections.py
+++ b/src/currantspur/wire/pooled_connections.py
@@ -14,7 +14,6 @@
 from aiohttp.tracing import Trace
 
 from currantspur.decisions.idle_connections import (
-    MAX_IDLE_CONNECTIONS,
     MAX_IDLE_S,
     MAX_RESET_S,
     IdleTimes,
@@ -120,11 +119,13 @@
 class PooledConnector(BoundedConnector):
     """Reuse connections; close the longest idle ones beyond a bound."""
 
-    def __init__(self, *, journal: Journal | None, **options: Any) -> None:
+    def __init__(
+        self, *, journal: Journal | None, max_idle: int, **options: Any
+    ) -> None:
         """Log to the journal, if any, which targets close early."""
         super().__init__(keepalive_timeout=MAX_IDLE_S, **options)
         self.journal = journal
-        self.max_idle = MAX_IDLE_CONNECTIONS
+        self.max_idle = max_idle
         self.idle_times = IdleTimes()
         # Idle connections, the longest idle one first.
         self.idle: OrderedDict[PooledResponseHandler, ConnectionKey] = (
--- a/src/currantspur/wire/target_sessions.py
+++ b/src/currantspur/wire/target_sessions.py
@@ -43,10 +43,14 @@
 
     __slots__ = ('metrics', 'pool', 'pooled', 'single_use')
 
-    def __init__(self, metrics: Metrics, journal: Journal | None) -> None:
+    def __init__(
+        self, metrics: Metrics, journal: Journal | None, max_idle: int
+    ) -> None:
         self.metrics = metrics
         self.pool = PooledConnector(
-            journal=journal, socket_factory=open_keepalive_socket
+            journal=journal,
+            max_idle=max_idle,
+            socket_factory=open_keepalive_socket,
         )
         metrics.add_gauge(
             'target_connections_idle',
--- a/src/currantspur/wire/targets.py
+++ b/src/currantspur/wire/targets.py
@@ -44,6 +44,8 @@
 # A connection opens within one round trip; a target that is down never
 # responds.
 CONNECT_TIMEOUT_S = 0.35
+# Idle connections of a client that is not told otherwise.
+DEFAULT_MAX_IDLE = 256
 # Each tells a caller that its request did not run.
 NOT_RUN_STATUSES = frozenset(
     (
@@ -71,9 +73,10 @@
         names: ProtocolNames,
         metrics: Metrics | None = None,
         journal: Journal | None = None,
+        max_idle: int = DEFAULT_MAX_IDLE,
     ) -> None:
         self.names = names
-        self.sessions = TargetSessions(metrics or Metrics(), journal)
+        self.sessions = TargetSessions(metrics or Metrics(), journal, max_idle)
 
     async def send(
         self,
