Admit requests while all targets of a service are cold or gone

The admission by rank counted only slots of targets that are not cold: while all were, as after a restart of a service, no request of any rank was admitted, though cold targets take some each second, and without any target callers got no_room instead of no_target. Cold targets count now, and without slots placement decides. The case that asked for a share of 0 without slots is replaced: it held the fault to be right.

--- a/src/currantspur/decisions/overload.py
+++ b/src/currantspur/decisions/overload.py
@@ -57,7 +57,8 @@
     """
     room = MAX_WORK_PER_SLOT * slots
     total = sum(busy_slots.values())
-    if total <= max(room, MIN_BUSY_SLOTS):
+    # Without any target placement refuses, and says so.
+    if slots <= 0 or total <= max(room, MIN_BUSY_SLOTS):
         return dict.fromkeys(busy_slots, 1.0)
     least_share = MIN_SHARE_FACTOR * room / total
     room -= least_share * total
--- a/src/currantspur/pipelines/placement_state.py
+++ b/src/currantspur/pipelines/placement_state.py
@@ -147,7 +147,7 @@
             ranks_by_service,
             busy_slots_by_rank,
             {
-                service: sum(self._sum_effective_slots(service, at).values())
+                service: self._sum_usable_slots(service, at)
                 for service in ranks_by_service
             },
         )
@@ -160,6 +160,21 @@
             self.work_times[request.route.name] = estimator
         return estimator
 
+    def _sum_usable_slots(self, service: str, at: float) -> float:
+        """Return the slots of a service's targets, cold ones included.
+
+        Cold targets run requests, too; without them nobody would be admitted
+        while all targets are cold. A target that is n times slower counts as
+        1/n of its slots.
+        """
+        usable = without_draining(
+            self.states_by_service.get(service, ()), self.signals
+        )
+        return sum(
+            each.target.slots / each.latency_ratio(at)
+            for each in without_evacuated(usable, self.evacuated_zones)
+        )
+
     def _sum_effective_slots(
         self, service: str, at: float
     ) -> Mapping[str, float]:
