Let what a target said outrank rows of its earlier starts

Callers' requests reached a target that had said it leaves: it had restarted shortly before, and the store returned to a copy with the row of the start before. Signals and departures were compared with the row's start for equality, so that the older row counted as another process, and what the target answered was dropped. They hold for the start they are known of and for earlier ones now, for a bounded time as a clock may be set back.

--- a/src/currantspur/decisions/departed_targets.py
+++ b/src/currantspur/decisions/departed_targets.py
@@ -26,13 +26,17 @@
         self.at = at
         self.is_drained = is_drained
 
-    def describes(self, target: Target) -> bool:
-        """Tell whether a row is of the same start of the target."""
-        return (
+    def covers(self, target: Target) -> bool:
+        """Tell whether a row is of the start that left or an earlier one."""
+        return self.outdates(target) or (
             target.started_at_unix_ms == self.target.started_at_unix_ms
             and target.address == self.target.address
         )
 
+    def outdates(self, target: Target) -> bool:
+        """Tell whether a row is of an earlier start than the one that left."""
+        return target.started_at_unix_ms < self.target.started_at_unix_ms
+
 
 class DepartedTargets:
     """The targets that drained or were removed lately, by name."""
@@ -94,9 +98,12 @@
     def _find_held(self, target: Target) -> Departure | None:
         """Return the departure that still holds for a listed target."""
         departure = self.held.get(target.name)
-        if departure is None or not departure.describes(target):
+        if departure is None or not departure.covers(target):
             return None
-        is_over = self.held_until == NEVER and not departure.is_drained
+        # A row of an earlier start that is still written is no copy: the clock
+        # of the target's machine was set back.
+        is_lasting = departure.is_drained and not departure.outdates(target)
+        is_over = self.held_until == NEVER and not is_lasting
         return None if is_over else departure
 
 
--- a/src/currantspur/decisions/target_signals.py
+++ b/src/currantspur/decisions/target_signals.py
@@ -1,10 +1,11 @@
 """Keep what targets say of themselves, to this instance or to its peers.
 
 A target that restarts, also under its name, knows nothing of what it said
-before: what is kept holds for one start of a target only.
+before: what is kept holds for one start of a target, and for rows of earlier
+starts, which an outdated source or a restored copy of the store may list.
 """
 
-from collections.abc import Container, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from enum import StrEnum
 from operator import itemgetter
 
@@ -36,7 +37,8 @@
 
     Moments are monotonic seconds.
 
-    - ``listed_at``: when the target was last listed.
+    - ``known_since``: when this start was first heard of.
+    - ``listed_at``: when a row of this or a later start was last listed.
     - ``leaving_since``: when it first said that it leaves, or None.
     - ``limit_per_s``: the limit that it names now, or None.
     - ``limited_since``: when it first named a limit without a pause.
@@ -46,6 +48,7 @@
 
     __slots__ = (
         'address',
+        'known_since',
         'leaving_since',
         'limit_per_s',
         'limit_said_at',
@@ -61,6 +64,7 @@
     ) -> None:
         self.started_at_unix_ms = started_at_unix_ms
         self.address = address
+        self.known_since = at
         self.listed_at = at
         self.leaving_since: float | None = None
         self.limit_per_s: float | None = None
@@ -76,6 +80,12 @@
             and address == self.address
         )
 
+    def covers(self, started_at_unix_ms: int, address: str) -> bool:
+        """Tell whether a row with these values is of this start or earlier."""
+        return started_at_unix_ms < self.started_at_unix_ms or self.describes(
+            started_at_unix_ms, address
+        )
+
     def update(
         self, signals: TargetSignals, *, asked_at: float, said_at: float
     ) -> Iterator[SignalKind]:
@@ -119,9 +129,9 @@
         self.record_by_name: dict[str, SignalRecord] = {}
 
     def find(self, target: Target) -> SignalRecord | None:
-        """Return what this start of a target said, or None."""
+        """Return what this or a later start of a target said, or None."""
         record = self.record_by_name.get(target.name)
-        if record is None or not record.describes(
+        if record is None or not record.covers(
             target.started_at_unix_ms, target.address
         ):
             return None
@@ -150,10 +160,22 @@
         requested_at: float,
         at: float,
     ) -> list[SignalKind]:
-        """Record a response; return what is new."""
+        """Record a response; return what is new.
+
+        A request that was sent once a later start was known, to the address of
+        that start, was answered by it.
+        """
+        started_at_unix_ms = target.started_at_unix_ms
+        known = self.find(target)
+        if (
+            known is not None
+            and known.address == target.address
+            and requested_at >= known.known_since
+        ):
+            started_at_unix_ms = known.started_at_unix_ms
         notice = TargetNotice(
             target=target.name,
-            started_at_unix_ms=target.started_at_unix_ms,
+            started_at_unix_ms=started_at_unix_ms,
             address=target.address,
             signals=signals,
             age_s=0.0,
@@ -200,10 +222,17 @@
                 age_s=at - said_at,
             )
 
-    def forget_unlisted(self, listed: Container[str], at: float) -> None:
-        """Drop targets that have not been listed for UNLISTED_RETENTION_S."""
+    def forget_unlisted(self, listed: Mapping[str, Target], at: float) -> None:
+        """Drop targets that have not been listed for UNLISTED_RETENTION_S.
+
+        The row of an earlier start counts again after that time: the clock of
+        the target's machine may have been set back.
+        """
         for name, record in list(self.record_by_name.items()):
-            if name in listed:
+            row = listed.get(name)
+            if row is not None and (
+                row.started_at_unix_ms >= record.started_at_unix_ms
+            ):
                 record.listed_at = at
             elif at - record.listed_at > UNLISTED_RETENTION_S:
                 self.record_by_name.pop(name)
--- a/tests/test_target_retention.py
+++ b/tests/test_target_retention.py
@@ -190,3 +190,39 @@
         )
         == usable
     )
+
+
+# Guards against requests to a target that left after a restart, while the copy
+# to which the store returned lists the start before.
+@pytest.mark.parametrize(
+    ('row_start', 'is_drained', 'at', 'is_usable'),
+    [
+        (1, True, 9.0, False),
+        (1, True, 9.0 + UNWRITTEN_ROW_S, False),
+        (1, False, 9.0, False),
+        # The row is written again: the clock of the machine was set back.
+        (1, True, 9.1 + UNWRITTEN_ROW_S, True),
+        (2, True, 9.1 + UNWRITTEN_ROW_S, False),
+        (3, True, 9.0, True),
+        (3, False, 9.0, True),
+    ],
+)
+def test_copy_lists_another_start(row_start, is_drained, at, is_usable):
+    known = make_target('a', started_at_unix_ms=2)
+    left = make_target('a', started_at_unix_ms=2, is_draining=True)
+    copied = make_target('a', started_at_unix_ms=row_start)
+    retention = TargetRetention()
+    for read_at, era, rows in (
+        (0.0, 0, [known]),
+        (5.0, 0, [left] if is_drained else []),
+        (9.0, 1, [copied]),
+    ):
+        retention.update(
+            TargetsUpdate(
+                targets_by_name={row.name: row for row in rows},
+                revision=make_revision(era=era, version=1),
+                read_at=read_at,
+            )
+        )
+    current = retention.current(at)
+    assert ('a' in current and not current['a'].is_draining) is is_usable
--- a/tests/test_target_signals.py
+++ b/tests/test_target_signals.py
@@ -5,7 +5,10 @@
 
 import pytest
 
-from currantspur.decisions.target_signals import UNLISTED_RETENTION_S
+from currantspur.decisions.target_signals import (
+    UNLISTED_RETENTION_S,
+    SignalTable,
+)
 from currantspur.errors import TargetError
 from currantspur.messages import (
     Assignment,
@@ -185,6 +188,12 @@
         ((list_targets(),), False),
         # The row lapsed and an outdated source lists the target once more.
         (({}, list_targets()), False),
+        # A restored copy of the store lists the start before.
+        ((list_targets(started_at_unix_ms=4),), False),
+        (
+            (list_targets(started_at_unix_ms=4, address='10.0.0.2:0'),),
+            False,
+        ),
         # A new start under the same name or at another address.
         ((list_targets(started_at_unix_ms=6),), True),
         ((list_targets(address='10.0.0.2:0'),), True),
@@ -292,6 +301,48 @@
     assert isinstance(await ask(dispatcher), Assignment) is is_used
 
 
+# Guards against a target that is never used again: the clock of its machine
+# was set back, so that each later start seems to be an earlier one.
+@pytest.mark.parametrize(
+    ('listed_s', 'is_used'),
+    [(UNLISTED_RETENTION_S, False), (UNLISTED_RETENTION_S + 1, True)],
+)
+async def test_earlier_start_counts_in_the_end(listed_s, is_used):
+    dispatcher = make_dispatcher()
+    await hear_of_leaving(dispatcher)
+    dispatcher.clock.at += listed_s
+    apply_rows(dispatcher, list_targets(started_at_unix_ms=4))
+    dispatcher.clock.at += STARTUP_HOLD_S
+    assert isinstance(await ask(dispatcher), Assignment) is is_used
+
+
+# Guards against a response that is dropped as outdated, though the start that
+# is known sent it: only the row of the target is of an earlier one.
+@pytest.mark.parametrize(
+    ('row', 'assigned_at', 'is_leaving'),
+    [
+        (list_targets(started_at_unix_ms=4), 2.0, True),
+        # The start before may have sent it.
+        (list_targets(started_at_unix_ms=4), 0.0, False),
+        (
+            list_targets(started_at_unix_ms=4, address='10.0.0.2:0'),
+            2.0,
+            False,
+        ),
+    ],
+)
+def test_response_under_an_earlier_row(row, assigned_at, is_leaving):
+    known = list_targets()['t0']
+    signals = SignalTable()
+    signals.record_response(
+        known, TargetSignals(limit_per_s=5.0), requested_at=0.5, at=1.0
+    )
+    signals.record_response(
+        row['t0'], LEAVING, requested_at=assigned_at, at=3.0
+    )
+    assert signals.is_leaving(known) is is_leaving
+
+
 async def send_numbered(session, daemon, number):
     """Send a request for an object of its own; return the status."""
     status, _, _ = await send_request(
