Forward method, path and query byte for byte

Targets ran requests under other paths than callers had sent: the request target was pasted into a URL, which the client library normalises, so that /things/%2e%2e/x ran as /x though the route was matched on the path as sent. The URL is built as encoded now. Fragments and CONNECT, which the library would cut off or rewrite, get 400.

--- a/src/currantspur/pipelines/admission.py
+++ b/src/currantspur/pipelines/admission.py
@@ -89,6 +89,27 @@
         return None
 
 
+class CheckRequestTarget(AdmissionCheck):
+    """Refuse what leads elsewhere than the path that is matched.
+
+    A fragment is no part of a request target (RFC 9112, 3.2), and targets may
+    cut it off. CONNECT asks for a tunnel to another host.
+    """
+
+    __slots__ = ()
+
+    def check(self, context: RequestContext) -> Refusal | None:
+        """Refuse CONNECT, and a fragment in the request target."""
+        request = context.request
+        if request.method == 'CONNECT':
+            return Refusal(code='bad_request', detail='CONNECT is not served')
+        if '#' in request.path:
+            return Refusal(
+                code='bad_request', detail='the request target has a fragment'
+            )
+        return None
+
+
 class MatchRoute(AdmissionCheck):
     """Match the route and set the deadline.
 
@@ -214,6 +235,7 @@
     return Pipeline(
         CreateContext(state),
         RequireConfiguration(),
+        CheckRequestTarget(),
         MatchRoute(state),
         identify_team or IdentifyTeam(state),
         LimitRate(state),
--- a/src/currantspur/wire/targets.py
+++ b/src/currantspur/wire/targets.py
@@ -6,6 +6,7 @@
 from math import isfinite
 
 import aiohttp
+from yarl import URL
 
 from currantspur.errors import (
     TargetError,
@@ -100,7 +101,7 @@
         try:
             async with session.request(
                 outgoing_request.method,
-                f'http://{target.address}{outgoing_request.path}',
+                _make_url(target, outgoing_request.path),
                 headers=headers,
                 data=_encode_body(body),
                 timeout=_make_timeout(timeout_s),
@@ -220,6 +221,16 @@
             yield ResponseChunk(body=chunk)
 
 
+def _make_url(target: Target, path: str) -> URL:
+    """Return a URL whose path and query are sent as they are.
+
+    A query given apart would be left out if it is empty.
+    """
+    return URL.build(
+        scheme='http', authority=target.address, path=path, encoded=True
+    )
+
+
 def _encode_body(body: bytes | bytearray) -> bytes | SlicedBody | None:
     if len(body) > SLICE_BYTES:
         return SlicedBody(memoryview(body))
