Let a message that cannot be handled fail alone in its batch

A caller's object key with a byte that is not UTF-8 failed every request of the same moment with 502: the error ended the batch of the dispatcher, releases of targets and the load of heartbeats with it, and an error or a full mailbox ended the heartbeats and so the process. Each message is handled alone now, heartbeats go on, and such a key gets 400, as the client library would leave out bytes of it.

--- a/src/currantspur/pipelines/admission.py
+++ b/src/currantspur/pipelines/admission.py
@@ -11,6 +11,7 @@
 from currantspur.decisions.rate_share import RateShare
 from currantspur.decisions.routing import RouteTable
 from currantspur.decisions.splitting import Splitter
+from currantspur.encoding import is_utf8
 from currantspur.messages import (
     IncomingRequest,
     Refusal,
@@ -89,17 +90,18 @@
         return None
 
 
-class CheckRequestTarget(AdmissionCheck):
-    """Refuse what leads elsewhere than the path that is matched.
+class CheckRequest(AdmissionCheck):
+    """Refuse requests that a target would read in another way than this.
 
     A fragment is no part of a request target (RFC 9112, 3.2), and targets may
-    cut it off. CONNECT asks for a tunnel to another host.
+    cut it off. CONNECT asks for a tunnel to another host. Of an object key that
+    is not UTF-8 the HTTP client library leaves out bytes.
     """
 
     __slots__ = ()
 
     def check(self, context: RequestContext) -> Refusal | None:
-        """Refuse CONNECT, and a fragment in the request target."""
+        """Refuse CONNECT, a fragment, and a malformed object key."""
         request = context.request
         if request.method == 'CONNECT':
             return Refusal(code='bad_request', detail='CONNECT is not served')
@@ -107,6 +109,10 @@
             return Refusal(
                 code='bad_request', detail='the request target has a fragment'
             )
+        if not is_utf8(request.object_key or ''):
+            return Refusal(
+                code='bad_request', detail='the object key is not UTF-8'
+            )
         return None
 
 
@@ -235,7 +241,7 @@
     return Pipeline(
         CreateContext(state),
         RequireConfiguration(),
-        CheckRequestTarget(),
+        CheckRequest(),
         MatchRoute(state),
         identify_team or IdentifyTeam(state),
         LimitRate(state),
--- a/src/currantspur/tasks/admission.py
+++ b/src/currantspur/tasks/admission.py
@@ -1,5 +1,6 @@
 """Task that checks requests; owns routes, API keys and rate shares."""
 
+from collections import deque
 from collections.abc import Iterable, Iterator
 
 from currantspur.decisions.affinity import draw_uniform
@@ -91,13 +92,19 @@
             if isinstance(envelope.message, IncomingRequest):
                 arrived.append(envelope)
             else:
-                envelope.set_reply(self.handle_message(envelope.message))
+                envelope.resolve(self.handle_message)
         due = self.startup_hold.take_due(
             arrived, is_ready=self.state.version > 0, at=self.clock.now()
         )
-        contexts = self.pipeline.run([each.message for each in due])
-        for envelope, context in zip(due, contexts, strict=True):
-            envelope.set_reply(context)
+        unchecked = deque(due)
+        while unchecked:
+            # Contexts pass one by one: those behind an error are unchecked.
+            contexts = self.pipeline.run([each.message for each in unchecked])
+            try:
+                for context in contexts:
+                    unchecked.popleft().set_reply(context)
+            except Exception as error:
+                unchecked.popleft().fail(error)
 
     def handle_message(self, message: Message) -> Message | None:
         """Apply an update; return the reply to a Tick or a query, or None."""
--- a/src/currantspur/tasks/dispatcher.py
+++ b/src/currantspur/tasks/dispatcher.py
@@ -117,7 +117,7 @@
         )
         self.retry_budgets = RetryBudgets(limits)
         self.configuration = Configuration(version=0)
-        self.handlers: dict[type[Message], Callable[[Any], None]] = {
+        self.handlers: dict[type[Message], Callable[[Any], Message | None]] = {
             ConfigurationUpdate: self._apply_configuration,
             EvacuationsUpdate: self._apply_evacuations,
             FleetView: self._apply_fleet_view,
@@ -125,6 +125,7 @@
             ResponseStarted: self._record_signals,
             TargetRelease: self._record_release,
             TargetsUpdate: self._apply_targets,
+            Tick: self._measure_load,
         }
 
     def receive(self, envelopes: Iterable[Envelope]) -> None:
@@ -134,13 +135,10 @@
         """
         arrived: list[Envelope] = []
         for envelope in self.placement_queries.take_from(envelopes):
-            message = envelope.message
-            if isinstance(message, PlacementRequest):
+            if isinstance(envelope.message, PlacementRequest):
                 arrived.append(envelope)
-            elif isinstance(message, Tick):
-                envelope.set_reply(self._measure_load())
             else:
-                self.handle_message(message)
+                envelope.resolve(self.handle_message)
         now = self.clock.now()
         if self.target_retention.has_expired(now):
             self._refresh_targets()
@@ -150,17 +148,17 @@
         for due in self.startup_hold.take_due(
             arrived, is_ready=bool(self.target_states), at=now
         ):
-            request = due.message
-            if isinstance(request, PlacementRequest):
-                due.set_reply(self._assign(request, now))
+            due.resolve(self._assign)
 
-    def handle_message(self, message: Message) -> None:
-        """Apply an update or a release; ignore other types of messages."""
+    def handle_message(self, message: Message) -> Message | None:
+        """Apply an update or a release, or return the reply to a Tick.
+
+        Ignore other types of messages.
+        """
         handler = self.handlers.get(type(message))
-        if handler is not None:
-            handler(message)
+        return handler(message) if handler else None
 
-    def _measure_load(self) -> ServiceLoad:
+    def _measure_load(self, _tick: Tick) -> ServiceLoad:
         now = self.clock.now()
         spillover = self.placement_state.spillover
         return ServiceLoad(
@@ -187,9 +185,8 @@
             if state is not None:
                 apply_report(state, report, now)
 
-    def _assign(
-        self, request: PlacementRequest, now: float
-    ) -> Assignment | Refusal:
+    def _assign(self, request: PlacementRequest) -> Assignment | Refusal:
+        now = self.clock.now()
         refusal = admit_attempt(
             request, self.placement_state, self.retry_budgets, now
         )
--- a/src/currantspur/tasks/mailbox.py
+++ b/src/currantspur/tasks/mailbox.py
@@ -2,8 +2,12 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
+from traceback import format_tb
 from typing import Any
 
+from loguru import logger
+
 from currantspur.errors import MailboxFullError, TaskFailedError
 from currantspur.messages import Message
 
@@ -34,8 +38,28 @@
         if self.reply_future is not None and not self.reply_future.done():
             self.reply_future.set_result(reply)
 
+    def resolve(self, handle: Callable[[Any], Any]) -> None:
+        """Set the reply that a handler returns; its error fails only this."""
+        try:
+            reply = handle(self.message)
+        except Exception as error:
+            self.fail(error)
+        else:
+            self.set_reply(reply)
+
     def fail(self, error: Exception) -> None:
-        """Raise TaskFailedError in the sender if it still waits for a reply."""
+        """Log an error; raise TaskFailedError in the sender if it waits.
+
+        Only the type and the lines of code are logged: the text of an error or
+        local values may contain an API key.
+        """
+        traceback = ''.join(format_tb(error.__traceback__))
+        logger.error(
+            'a task failed at {} with {}\n{}',
+            type(self.message).__name__,
+            type(error).__name__,
+            traceback,
+        )
         if self.reply_future is not None and not self.reply_future.done():
             self.reply_future.set_exception(
                 TaskFailedError(type(error).__name__)
@@ -68,7 +92,7 @@
         """Queue a message and return its reply.
 
         Raise MailboxFullError at the limit and TaskFailedError if the task
-        fails at the batch that contains the message.
+        fails at the message.
         """
         reply_future = asyncio.get_running_loop().create_future()
         self.put(Envelope(message, reply_future))
--- a/src/currantspur/tasks/membership.py
+++ b/src/currantspur/tasks/membership.py
@@ -1,6 +1,7 @@
 """Task that owns the membership of the fleet and sends heartbeats."""
 
 from collections.abc import Callable, Iterable, Mapping
+from contextlib import suppress
 from random import Random
 from typing import Any
 
@@ -13,6 +14,7 @@
 from currantspur.decisions.lookup import answer_lookup
 from currantspur.decisions.membership_table import MembershipTable
 from currantspur.decisions.zone_summary import build_digest
+from currantspur.errors import MailboxFullError, TaskFailedError
 from currantspur.messages import (
     FleetView,
     Heartbeat,
@@ -138,7 +140,7 @@
     def receive(self, envelopes: Iterable[Envelope]) -> None:
         """Handle each message and set its reply."""
         for envelope in envelopes:
-            envelope.set_reply(self.handle_message(envelope.message))
+            envelope.resolve(self.handle_message)
 
     def handle_message(self, message: Message) -> Message | None:
         """Apply a message; return the response to a look-up, otherwise None."""
@@ -148,14 +150,15 @@
     async def send_heartbeats(self, random: Random) -> None:
         """Send heartbeats at jittered intervals until cancelled.
 
-        Each one carries the load and demand measured just before.
+        Each one carries the load and demand measured just before; none is sent
+        while the admission task cannot tell the demand.
         """
         while True:
-            load: ServiceLoad = await self.dispatcher.ask(Tick())
-            self.mailbox.post(load)
-            demand: TeamDemand = await self.admission.ask(Tick())
-            self.mailbox.post(demand)
-            self.mailbox.post(Tick())
+            for task in (self.dispatcher, self.admission):
+                with suppress(MailboxFullError, TaskFailedError):
+                    self.mailbox.post(await task.ask(Tick()))
+            with suppress(MailboxFullError):
+                self.mailbox.post(Tick())
             await self.clock.sleep(
                 HEARTBEAT_INTERVAL_S * random.uniform(*JITTER_FACTORS)
             )
--- a/src/currantspur/tasks/placement_queries.py
+++ b/src/currantspur/tasks/placement_queries.py
@@ -1,8 +1,12 @@
 """Answer questions to the dispatcher where a request would go."""
 
 from collections.abc import Iterable, Iterator
+from functools import partial
 
-from currantspur.messages.route_explanations import PlacementQuery
+from currantspur.messages.route_explanations import (
+    PlacementExplanation,
+    PlacementQuery,
+)
 from currantspur.pipelines.placement_state import PlacementState
 from currantspur.pipelines.route_explanation import explain_placement
 from currantspur.tasks.mailbox import Envelope
@@ -37,9 +41,11 @@
             is_ready=bool(self.placement_state.states_by_service), at=at
         )
         for envelope in self.envelopes:
-            if isinstance(envelope.message, PlacementQuery):
-                explanation = explain_placement(
-                    envelope.message.request, self.placement_state, at
-                )
-                explanation.is_held = is_held
-                envelope.set_reply(explanation)
+            envelope.resolve(partial(self._explain, at=at, is_held=is_held))
+
+    def _explain(
+        self, query: PlacementQuery, *, at: float, is_held: bool
+    ) -> PlacementExplanation:
+        explanation = explain_placement(query.request, self.placement_state, at)
+        explanation.is_held = is_held
+        return explanation
--- a/src/currantspur/tasks/task.py
+++ b/src/currantspur/tasks/task.py
@@ -2,9 +2,6 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
-from traceback import format_tb
-
-from loguru import logger
 
 from currantspur.tasks.mailbox import Envelope, Mailbox
 
@@ -18,18 +15,16 @@
         self.mailbox = Mailbox()
 
     async def run(self) -> None:
-        """Receive envelopes until cancelled; an error fails only its batch."""
+        """Receive envelopes until cancelled; an error fails only its batch.
+
+        Errors of single messages are up to `receive`: what else is in a batch,
+        such as the release of a target, must not be lost with them.
+        """
         while True:
             envelopes = await self.mailbox.get_all()
             try:
                 self.receive(envelopes)
             except Exception as error:
-                # Log only the type and the lines of code: the text of an error
-                # or local values may contain an API key.
-                traceback = ''.join(format_tb(error.__traceback__))
-                logger.error(
-                    'task failed with {}\n{}', type(error).__name__, traceback
-                )
                 for envelope in envelopes:
                     envelope.fail(error)
 
--- a/src/currantspur/wire/response_heads.py
+++ b/src/currantspur/wire/response_heads.py
@@ -11,6 +11,8 @@
 from aiohttp.http import RawRequestMessage, StreamWriter
 from multidict import CIMultiDict
 
+from currantspur.encoding import is_utf8
+
 # The HTTP client library accepts these in names and values of headers, the
 # server library refuses to write them (RFC 9110, 5.5).
 _CONTROL_CHARACTERS: Final = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
@@ -41,7 +43,7 @@
         self, status_line: str, headers: CIMultiDict[str]
     ) -> None:
         """Write the head as aiohttp does if it is UTF-8, else unchanged."""
-        if all(map(_is_utf8, headers.values())):
+        if all(map(is_utf8, headers.values())):
             await super().write_headers(status_line, headers)
             return
         lines = (f'{name}: {text}' for name, text in headers.items())
@@ -61,13 +63,3 @@
     loop = asyncio.get_running_loop()
     writer = ExactHeadWriter(protocol, loop)
     return web.BaseRequest(message, payload, protocol, writer, task, loop)
-
-
-def _is_utf8(text: str) -> bool:
-    if text.isascii():
-        return True
-    try:
-        text.encode()
-    except UnicodeEncodeError:
-        return False
-    return True
--- a/tests/test_request_targets.py
+++ b/tests/test_request_targets.py
@@ -50,12 +50,12 @@
 ).map(''.join)
 
 
-def encode_request(number, target, method='GET'):
+def encode_request(number, target, method='GET', *, object_key='17'):
     return (
         f'{method} {target} HTTP/1.1\r\n'
         f'Host: {ROUTE_HOST}\r\n'
         f'X-Request-Id: r-{number}\r\n'
-        'X-Affinity-Key: 17\r\n'
+        f'X-Affinity-Key: {object_key}\r\n'
         'Content-Length: 0\r\n'
         f'Authorization: Bearer {API_KEY}\r\n\r\n'
     ).encode('latin-1')
@@ -145,3 +145,23 @@
         writer.close()
         assert status_line.split()[1] == b'400'
         assert not list_received(fleet)
+
+
+# Guards against a caller whose request fails those of others, which reached
+# the same task at the same moment, and against a key that loses bytes.
+async def test_malformed_object_key_is_refused_alone():
+    object_keys = ['17', '\xff', 'a\xf1o', '\xc3\xb1', '18']
+    async with open_fleet() as (fleet, _session):
+        reader, writer = await open_connection(fleet)
+        writer.write(
+            b''.join(
+                encode_request(
+                    number, f'{IDEMPOTENT_PREFIX}7', object_key=object_key
+                )
+                for number, object_key in enumerate(object_keys)
+            )
+        )
+        statuses = [await read_status(reader) for _ in object_keys]
+        writer.close()
+        assert statuses == [200, 400, 400, 200, 200]
+        assert set(list_received(fleet)) == {'r-0', 'r-3', 'r-4'}
