Check the numbers that are decoded from other programs

NaN or infinity in the demand of one peer's datagram stopped the views of all instances that got it; numbers beyond 64 bits failed heartbeats, odd keys and versions raised in the readers of the store and of relays, and a configuration with a field of another type was put in force in part. Decoders check ranges and types now, and drop what is malformed. The configuration's resources have a module of their own.

--- a/src/currantspur/errors.py
+++ b/src/currantspur/errors.py
@@ -12,6 +12,7 @@
 MALFORMED_INPUT_ERRORS: Final = (
     AttributeError,
     KeyError,
+    OverflowError,
     TypeError,
     ValueError,
 )
--- a/src/currantspur/platform/rows.py
+++ b/src/currantspur/platform/rows.py
@@ -2,37 +2,29 @@
 
 import re
 from collections.abc import Iterable, Iterator, Mapping
-from types import MappingProxyType
 from typing import Any
 
-import orjson
 from loguru import logger
 
-from currantspur.errors import MALFORMED_INPUT_ERRORS, MalformedRowError
+from currantspur.encoding import MAX_COUNT
+from currantspur.errors import MalformedRowError
 from currantspur.messages import (
-    CallerLimits,
-    Configuration,
     ConfigurationUpdate,
     EvacuationsUpdate,
     Message,
-    Route,
-    Service,
     TableSnapshot,
     Target,
     TargetsUpdate,
-    Team,
-    WeightedService,
 )
 from currantspur.pipelines.filter import Filter
 from currantspur.platform import names
+from currantspur.platform.resources import (
+    JsonObject,
+    decode_configuration,
+    parse_object,
+)
 from currantspur.settings import is_address
 
-JsonObject = Mapping[str, Any]
-# Name and `spec` of a resource of the configuration.
-NamedSpec = tuple[str, JsonObject]
-SpecsByKind = Mapping[str, list[NamedSpec]]
-# Limits of a configuration without a limits resource.
-NO_LIMITS: JsonObject = MappingProxyType({})
 # A row beyond these is a mistake of its writer: a single one would change the
 # plans of a whole service.
 MAX_SLOTS = 10_000
@@ -116,7 +108,7 @@
 
 def decode_target(key: str, encoded: bytes) -> Target:
     """Return the target of a row; raise MalformedRowError if malformed."""
-    row = _parse_object(encoded)
+    row = parse_object(encoded)
     target = Target(
         name=key,
         service=_get_field(row, 'service', str),
@@ -148,34 +140,13 @@
         yield f'capacity_slots is not 1 to {MAX_SLOTS}'
     if not is_address(target.address):
         yield 'address is not an IP address and a port'
+    if not 0 <= target.started_at_unix_ms <= MAX_COUNT:
+        # Peers would take a heartbeat that names it as malformed.
+        yield 'born is no Unix time in milliseconds'
     if abs(target.cold_remaining_s) > MAX_COLD_S:
         yield f'cold_remaining_s is over {MAX_COLD_S}'
 
 
-def decode_configuration(encoded: bytes) -> Configuration:
-    """Return a configuration; raise MalformedRowError if it is malformed."""
-    document = _parse_object(encoded)
-    specs_by_kind: dict[str, list[NamedSpec]] = {}
-    try:
-        for resource in document['resource_list']:
-            # There is at most one limits resource, and it has no name.
-            metadata = resource.get('metadata') or {}
-            named_spec = (metadata.get('name', ''), resource['spec'])
-            specs_by_kind.setdefault(resource['resource_kind'], []).append(
-                named_spec
-            )
-        limits_spec = specs_by_kind.get('limits', [('', NO_LIMITS)])[0][1]
-        return Configuration(
-            version=document['config_version'],
-            routes=tuple(_read_routes(specs_by_kind)),
-            services=tuple(_read_services(specs_by_kind)),
-            teams=tuple(_read_teams(specs_by_kind)),
-            limits=_read_limits(limits_spec),
-        )
-    except MALFORMED_INPUT_ERRORS as error:
-        raise MalformedRowError(f'configuration: {error!r}') from error
-
-
 def _read_configuration(
     encoded: bytes, snapshot: TableSnapshot
 ) -> Iterator[ConfigurationUpdate]:
@@ -197,86 +168,6 @@
             yield key.removeprefix(names.EVACUATION_PREFIX)
 
 
-def _read_routes(
-    specs_by_kind: SpecsByKind,
-) -> Iterator[Route]:
-    for name, spec in specs_by_kind.get('routes', ()):
-        yield Route(
-            name=name,
-            host=spec['hostname'].lower(),
-            path_prefix=spec['prefix'],
-            weighted_services=tuple(_read_weighted_services(spec)),
-            is_idempotent=spec.get('route_kind') == names.IDEMPOTENT,
-            timeout_s=spec['timeout_s'],
-            latency_goal_s=spec.get('target_latency_s') or spec['timeout_s'],
-            max_attempts=spec.get('max_attempts', 1),
-            priority=spec.get('priority', 0),
-            allows_anonymous=spec.get('allow_anonymous', False),
-            has_affinity=spec.get('session_affinity', False),
-            home_regions=frozenset(spec.get('home_regions') or ()),
-        )
-
-
-def _read_weighted_services(spec: JsonObject) -> Iterator[WeightedService]:
-    for weighted in spec.get('weighted_split') or ():
-        yield WeightedService(
-            service=weighted['service'], weight=weighted['weight']
-        )
-    if not spec.get('weighted_split'):
-        yield WeightedService(service=spec['service'], weight=1)
-
-
-def _read_services(
-    specs_by_kind: SpecsByKind,
-) -> Iterator[Service]:
-    for name, spec in specs_by_kind.get('services', ()):
-        yield Service(
-            name=name,
-            health_path=spec.get('health_path', '/health'),
-            max_connections=spec.get('max_conns', 0),
-            cold_start_s=spec.get('cold_start_s', 0.0),
-            cold_requests_per_s=spec.get('cold_per_s', 0.0),
-        )
-
-
-def _read_teams(
-    specs_by_kind: SpecsByKind,
-) -> Iterator[Team]:
-    for name, spec in specs_by_kind.get('tenants', ()):
-        yield Team(
-            name=name,
-            keys=tuple(spec.get('api_keys') or ()),
-            rate_per_s=spec.get('rate_per_s') or 0.0,
-            burst=spec.get('burst') or 0.0,
-            priority=spec.get('priority'),
-            home_regions=frozenset(spec.get('home_regions') or ()),
-        )
-
-
-def _read_limits(spec: JsonObject) -> CallerLimits:
-    defaults = CallerLimits()
-    return CallerLimits(
-        max_header_bytes=spec.get(
-            'max_header_bytes', defaults.max_header_bytes
-        ),
-        max_body_bytes=spec.get('max_body_bytes', defaults.max_body_bytes),
-        header_timeout_s=spec.get(
-            'header_timeout_s', defaults.header_timeout_s
-        ),
-        idle_timeout_s=spec.get('idle_timeout_s', defaults.idle_timeout_s),
-    )
-
-
-def _parse_object(encoded: bytes) -> JsonObject:
-    try:
-        document = orjson.loads(encoded)
-    except orjson.JSONDecodeError as error:
-        raise MalformedRowError('row is not JSON') from error
-    if not isinstance(document, dict):
-        raise MalformedRowError('row is not a JSON object')
-    return document
-
-
 def _get_field(
     row: JsonObject, field: str, expected_types: Any, default: Any = None
 ) -> Any:
--- a/src/currantspur/platform/store.py
+++ b/src/currantspur/platform/store.py
@@ -8,12 +8,18 @@
 import aiohttp
 import orjson
 
+from currantspur.encoding import parse_count
 from currantspur.errors import (
     MALFORMED_INPUT_ERRORS,
     HistoryLostError,
     StoreAwayError,
 )
-from currantspur.messages.revisions import get_era, get_version, make_revision
+from currantspur.messages.revisions import (
+    NO_REVISION,
+    get_era,
+    get_version,
+    parse_revision,
+)
 from currantspur.messages.table_rows import RowsResponse
 from currantspur.platform.names import STORE_ERA_HEADER
 from currantspur.tasks.ports import Store
@@ -204,11 +210,9 @@
         raise StoreAwayError(f'{call_name}: status {status}')
     try:
         document: dict[str, Any] = orjson.loads(body)
-        document['era'] = int(era or 0)
-        document['revision'] = make_revision(
-            era=document['era'], version=int(document['ver'])
-        )
-    except (ValueError, KeyError, TypeError) as error:
+        document['era'] = parse_count(era or 0)
+        document['revision'] = parse_revision(era or 0, document['ver'])
+    except MALFORMED_INPUT_ERRORS as error:
         raise StoreAwayError(f'{call_name}: malformed response') from error
     return document
 
@@ -239,12 +243,23 @@
         if row.get('part'):
             continue
         is_deleted = row.get('deleted') or row.get('value') is None
+        if not isinstance(row['key'], str):
+            raise TypeError('the key of a row is no text')
         yield row['key'], None if is_deleted else b64decode(row['value'])
 
 
 def _get_newest_revision(document: Mapping[str, Any]) -> int:
-    versions = (row.get('ver', -1) for row in document.get('rows', ()))
-    return make_revision(era=document['era'], version=max(versions, default=-1))
+    """Return the newest revision of rows that decode_rows accepted."""
+    try:
+        return max(
+            (
+                parse_revision(document['era'], row.get('ver', -1))
+                for row in document.get('rows', ())
+            ),
+            default=NO_REVISION,
+        )
+    except MALFORMED_INPUT_ERRORS as error:
+        raise StoreAwayError('malformed version of a row') from error
 
 
 def _make_row_key(table: str, key: str) -> dict[str, str]:
--- a/src/currantspur/wire/datagrams.py
+++ b/src/currantspur/wire/datagrams.py
@@ -6,7 +6,8 @@
 
 import orjson
 
-from currantspur.messages.revisions import get_era, get_version, make_revision
+from currantspur.encoding import parse_amount
+from currantspur.messages.revisions import get_era, get_version, parse_revision
 
 RATE_DECIMALS = 1
 SLOTS_DECIMALS = 2
@@ -73,7 +74,9 @@
 
 def parse_amounts(document: Any) -> dict[str, float]:
     """Return numbers by name."""
-    return {str(name): float(amount) for name, amount in document.items()}
+    return {
+        str(name): parse_amount(amount) for name, amount in document.items()
+    }
 
 
 def split_revisions(revisions: Mapping[str, int]) -> dict[str, Any]:
@@ -98,7 +101,7 @@
     if era is None:
         return {}
     return {
-        str(table): make_revision(era=int(era), version=int(version))
+        str(table): parse_revision(era, version)
         for table, version in document['revisions'].items()
     }
 
--- a/src/currantspur/wire/heartbeats.py
+++ b/src/currantspur/wire/heartbeats.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from currantspur.encoding import parse_amount, parse_count
 from currantspur.errors import MALFORMED_INPUT_ERRORS
 from currantspur.messages import (
     Heartbeat,
@@ -32,6 +33,8 @@
 
 # A larger datagram would be sent in IP fragments, each of which may be lost.
 MAX_DATAGRAM_BYTES = 1400
+# A target that reports more requests is mistaken.
+MAX_IN_FLIGHT = 10_000_000
 
 
 class JsonInstanceCodec(InstanceCodec):
@@ -160,8 +163,8 @@
 def _parse_heartbeat(document: Any) -> Heartbeat:
     return Heartbeat(
         instance=_parse_instance(document['instance']),
-        incarnation=int(document['life']),
-        sequence_number=int(document['number']),
+        incarnation=parse_count(document['life']),
+        sequence_number=parse_count(document['number']),
         is_leaving=bool(document['leaving']),
         is_ready=bool(document['ready']),
         requests_per_s_by_team=parse_amounts(document['demand']),
@@ -182,7 +185,7 @@
         yield TargetReport(
             target=str(target),
             object_key=None if object_key is None else str(object_key),
-            in_flight=int(in_flight),
+            in_flight=parse_count(in_flight, most=MAX_IN_FLIGHT),
         )
 
 
@@ -197,5 +200,5 @@
         region=str(document['region']),
         address=str(document['address']),
         peer=str(document['peer']),
-        link_mbps=float(document['link_mbps']),
+        link_mbps=parse_amount(document['link_mbps']),
     )
--- a/src/currantspur/wire/relays.py
+++ b/src/currantspur/wire/relays.py
@@ -12,12 +12,13 @@
 import orjson
 from aiohttp import ClientSession, web
 
+from currantspur.encoding import parse_amount
 from currantspur.errors import (
     MALFORMED_INPUT_ERRORS,
     HistoryLostError,
     StoreAwayError,
 )
-from currantspur.messages.revisions import get_era, get_version, make_revision
+from currantspur.messages.revisions import get_era, get_version, parse_revision
 from currantspur.messages.table_rows import (
     NO_OUTAGE_S_AGO,
     RowsRequest,
@@ -95,10 +96,10 @@
         try:
             rows_request = RowsRequest(
                 table=query['table'],
-                after_revision=make_revision(
+                after_revision=parse_revision(
                     # Older builds do not know of eras.
-                    era=int(query.get('era', self.get_era(query['table']))),
-                    version=int(query['after']),
+                    query.get('era', self.get_era(query['table'])),
+                    query['after'],
                 ),
                 age_s=parse_age_s(query.get(AGE_KEY)),
             )
@@ -306,7 +307,7 @@
     if document is None:
         raise HistoryLostError('peer')
     # Older builds do not know of eras.
-    era = int(document.get('era', max(0, get_era(after))))
+    era = document.get('era', max(0, get_era(after)))
     ended_s_ago = document['outage_ended_s_ago']
     return RowsResponse(
         rows_by_key={
@@ -316,14 +317,12 @@
                 for key, text in document.get('texts', {}).items()
             },
         },
-        revision=make_revision(era=era, version=int(document['revision'])),
-        newest_row_revision=make_revision(
-            era=era, version=int(document['changed'])
-        ),
+        revision=parse_revision(era, document['revision']),
+        newest_row_revision=parse_revision(era, document['changed']),
         # JSON cannot encode infinity, which stands for no outage so far.
         outage_ended_s_ago=NO_OUTAGE_S_AGO
         if ended_s_ago is None
-        else ended_s_ago,
+        else parse_amount(ended_s_ago),
     )
 
 
--- a/src/currantspur/wire/target_notices.py
+++ b/src/currantspur/wire/target_notices.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from currantspur.encoding import parse_amount, parse_count
 from currantspur.messages import TargetNotice, TargetSignals
 
 AGE_DECIMALS = 2
@@ -23,9 +24,9 @@
     """Return the notice; raise one of MALFORMED_INPUT_ERRORS."""
     return TargetNotice(
         target=str(document['target']),
-        started_at_unix_ms=int(document['started']),
+        started_at_unix_ms=parse_count(document['started']),
         address=str(document['address']),
-        age_s=float(document['age_s']),
+        age_s=parse_amount(document['age_s']),
         signals=TargetSignals(
             is_leaving=bool(document['leaving']),
             limit_per_s=_parse_optional_rate(document['limit_per_s']),
@@ -34,4 +35,4 @@
 
 
 def _parse_optional_rate(document: Any) -> float | None:
-    return None if document is None else float(document)
+    return None if document is None else parse_amount(document)
--- a/src/currantspur/wire/targets.py
+++ b/src/currantspur/wire/targets.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections.abc import AsyncGenerator
 from http import HTTPStatus
-from math import isfinite
 
 import aiohttp
 from yarl import URL
 
+from currantspur.encoding import MAX_AMOUNT
 from currantspur.errors import (
     TargetError,
     TargetMovedError,
@@ -270,7 +270,8 @@
     if not _is_decimal(whole + fraction):
         return None
     number = float(f'{whole}.{fraction}')
-    return number if isfinite(number) else None
+    # Peers would take a heartbeat with a larger number as malformed.
+    return number if number <= MAX_AMOUNT else None
 
 
 def _is_count(text: str) -> bool:
--- a/src/currantspur/wire/zone_digests.py
+++ b/src/currantspur/wire/zone_digests.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from currantspur.encoding import parse_amount, parse_count
 from currantspur.messages import Instance, ZoneDigest
 from currantspur.wire.datagrams import (
     pack_with_rates,
@@ -16,6 +17,8 @@
 # Three IP fragments: 40 instances and 150 teams. The next digest replaces one
 # of which a fragment is lost.
 MAX_DIGEST_BYTES = 4200
+# A digest that counts more instances in its zone is mistaken.
+MAX_INSTANCES = 100_000
 
 
 def encode_digest(digest: ZoneDigest) -> bytes:
@@ -57,10 +60,10 @@
         region=region,
         reporter=str(document['reporter']),
         reporter_peer=str(document['peer']),
-        incarnation=int(document['life']),
-        sequence_number=int(document['number']),
+        incarnation=parse_count(document['life']),
+        sequence_number=parse_count(document['number']),
         is_relayed=bool(document['relayed']),
-        counted_instances=int(document['counted']),
+        counted_instances=parse_count(document['counted'], most=MAX_INSTANCES),
         live_instances=tuple(
             Instance(
                 name=str(name),
@@ -68,7 +71,7 @@
                 region=region,
                 address=str(address),
                 peer=str(peer),
-                link_mbps=float(link_mbps),
+                link_mbps=parse_amount(link_mbps),
             )
             for name, address, peer, link_mbps in document['live']
         ),
--- a/tests/test_rows.py
+++ b/tests/test_rows.py
@@ -10,7 +10,8 @@
     WeightedService,
 )
 from currantspur.platform import OperatorRowDecoder, TargetRowDecoder
-from currantspur.platform.rows import decode_configuration, decode_target
+from currantspur.platform.resources import decode_configuration
+from currantspur.platform.rows import decode_target
 from currantspur.standins.fleet import describe_configuration
 
 TARGET_ROW = {
