--- a/src/currantspur/soak/processes.py
+++ b/src/currantspur/soak/processes.py
@@ -27,7 +27,7 @@
     async def start(self) -> None:
         """Write the settings file and start the process; append to its log."""
         self.settings_path.write_text(
-            yaml.safe_dump(_settings_document(self.settings))
+            yaml.safe_dump(make_settings_document(self.settings))
         )
         with self.log_path.open('ab') as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -62,7 +62,8 @@
             await self.process.wait()
 
 
-def _settings_document(settings: DaemonSettings) -> dict[str, object]:
+def make_settings_document(settings: DaemonSettings) -> dict[str, object]:
+    """Return settings as the document of a settings file."""
     return {
         'instance': settings.instance,
         'availability_zone': settings.availability_zone,
