--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -14,19 +14,13 @@
 )
 from currantspur.decisions.topology import Topology
 from currantspur.errors import ListenError
-from currantspur.messages import FleetView, Instance, Message, TableSnapshot
-from currantspur.pipelines.filter import Filter
-from currantspur.pipelines.instance_rows import InstanceRowDecoder
-from currantspur.platform import (
-    PLATFORM_NAMES,
-    OperatorRowDecoder,
-    PlatformStore,
-    TargetRowDecoder,
-)
+from currantspur.messages import FleetView, Instance
+from currantspur.platform import PLATFORM_NAMES, PlatformStore
 from currantspur.platform.names import OPERATOR_TABLE, TARGET_TABLE
 from currantspur.settings import DaemonSettings
 from currantspur.shutdown import GracefulShutdown
 from currantspur.state_metrics import register_state_metrics
+from currantspur.table_followers import add_followers
 from currantspur.tasks import (
     AdmissionTask,
     Clock,
@@ -35,14 +29,12 @@
     FollowerGroup,
     Journal,
     LineSink,
-    Mailbox,
     Membership,
     Registrar,
     RequestForwarder,
     RouteExplainer,
     RowRelay,
     SystemClock,
-    TableFollower,
     Task,
 )
 from currantspur.tasks.registrar import INSTANCES_TABLE
@@ -287,35 +279,19 @@
 
     def _create_followers(self) -> None:
         admission, dispatcher = self.admission.mailbox, self.dispatcher.mailbox
-        membership = self.membership.mailbox
-        self._create_follower(
-            OPERATOR_TABLE, OperatorRowDecoder(), admission, dispatcher
-        )
-        self._create_follower(TARGET_TABLE, TargetRowDecoder(), dispatcher)
-        self._create_follower(
-            INSTANCES_TABLE,
-            InstanceRowDecoder(JsonInstanceCodec()),
-            membership,
-        )
-
-    def _create_follower(
-        self,
-        table: str,
-        decoder: Filter[TableSnapshot, Message],
-        *subscribers: Mailbox,
-    ) -> None:
-        follower = TableFollower(
-            table=table,
+        add_followers(
+            self.followers,
+            {
+                OPERATOR_TABLE: (admission, dispatcher),
+                TARGET_TABLE: (dispatcher,),
+                INSTANCES_TABLE: (self.membership.mailbox,),
+            },
             store=self.store,
-            decoder=decoder,
-            subscribers=subscribers,
             row_relay=self.row_relay.mailbox,
             clock=self.clock,
             journal=self.journal,
             random=self.random,
-            on_era=self.followers.record_era,
         )
-        self.followers.add(follower)
 
     def _create_route_handler(self) -> RouteHandler:
         forwarder = self.request_handler.forwarder
--- /dev/null
+++ b/src/currantspur/table_followers.py
@@ -0,0 +1,56 @@
+"""Assembly of the followers of the store's tables."""
+
+from collections.abc import Mapping
+from random import Random
+
+from currantspur.messages import Message, TableSnapshot
+from currantspur.pipelines.filter import Filter
+from currantspur.pipelines.instance_rows import InstanceRowDecoder
+from currantspur.platform import OperatorRowDecoder, TargetRowDecoder
+from currantspur.platform.names import OPERATOR_TABLE, TARGET_TABLE
+from currantspur.tasks import (
+    Clock,
+    FailoverStore,
+    FollowerGroup,
+    Journal,
+    Mailbox,
+    TableFollower,
+)
+from currantspur.tasks.registrar import INSTANCES_TABLE
+from currantspur.wire.heartbeats import JsonInstanceCodec
+
+
+def make_decoders() -> dict[str, Filter[TableSnapshot, Message]]:
+    """Return the decoder of each table."""
+    return {
+        OPERATOR_TABLE: OperatorRowDecoder(),
+        TARGET_TABLE: TargetRowDecoder(),
+        INSTANCES_TABLE: InstanceRowDecoder(JsonInstanceCodec()),
+    }
+
+
+def add_followers(
+    group: FollowerGroup,
+    subscribers_by_table: Mapping[str, tuple[Mailbox, ...]],
+    *,
+    store: FailoverStore,
+    row_relay: Mailbox,
+    clock: Clock,
+    journal: Journal,
+    random: Random,
+) -> None:
+    """Add a follower of each table, unstarted, to a group."""
+    for table, decoder in make_decoders().items():
+        group.add(
+            TableFollower(
+                table=table,
+                store=store,
+                decoder=decoder,
+                subscribers=subscribers_by_table[table],
+                row_relay=row_relay,
+                clock=clock,
+                journal=journal,
+                random=random,
+                on_era=group.record_era,
+            )
+        )
