Let the soak learn bursts, slow machines, moving targets and odd input

Targets slow down and say so, close idle connections early, drain, leave, come back and change their slots; bursts exceed all slots; clients send too much, too little or never read, at every address; rows and datagrams are malformed. A process that ends by itself is a violation now. Each series injects every kind before it repeats one. The behaviours of the target stand-in have a module of their own.

--- a/src/currantspur/demo.py
+++ b/src/currantspur/demo.py
@@ -9,6 +9,7 @@
 
 from currantspur.daemon import Daemon
 from currantspur.standins import Fleet
+from currantspur.standins.behaviours import Resetting, Shedding
 from currantspur.standins.fleet import (
     API_KEY,
     IDEMPOTENT_PREFIX,
@@ -16,7 +17,6 @@
     ROUTE_HOST,
     wait_until,
 )
-from currantspur.standins.target import Resetting, Shedding
 
 Check = Callable[['Demo'], Awaitable[bool]]
 
--- a/src/currantspur/soak/faults.py
+++ b/src/currantspur/soak/faults.py
@@ -1,18 +1,19 @@
-"""Faults that are injected into a fleet for a random time."""
+"""The kinds of faults, and those of processes, links and the store."""
 
-import asyncio
 import signal
-from abc import ABC, abstractmethod
 from random import Random
 from typing import TYPE_CHECKING
 
 from currantspur.platform import PLATFORM_NAMES
 from currantspur.platform.names import OPERATOR_TABLE, TARGET_TABLE
+from currantspur.soak.fault import Fault, wait_fault_duration
+from currantspur.soak.input_faults import Crowd, OddInput
+from currantspur.soak.load_faults import Burst, Departure, MachinePace, Resize
 from currantspur.soak.proxy import PROXY_FAILURE_MODES
-from currantspur.standins.store import StoreCopy
-from currantspur.standins.target import (
+from currantspur.standins.behaviours import (
     HEALTHY,
     Behaviour,
+    ClosingIdle,
     Duplicating,
     Failing,
     Resetting,
@@ -21,14 +22,14 @@
     Truncating,
     Unframed,
 )
+from currantspur.standins.store import StoreCopy
 from currantspur.wire.names import RETRY_AFTER_HEADER
 
 if TYPE_CHECKING:
     from currantspur.soak.run import Soak
 
-# The duration of each fault is drawn from this range.
-MIN_FAULT_S, MAX_FAULT_S = 0.2, 1.5
 BEHAVIOURS: tuple[Behaviour, ...] = (
+    ClosingIdle(),
     Truncating(),
     Duplicating(),
     Failing(),
@@ -49,16 +50,6 @@
 )
 
 
-class Fault(ABC):
-    """Fault of one kind; its victim and duration are drawn at random."""
-
-    __slots__ = ()
-
-    @abstractmethod
-    async def inject(self, soak: 'Soak', random: Random) -> None:
-        """Inject the fault and return once it is removed again."""
-
-
 class Restart(Fault):
     """Stop an instance process with a signal and start it again."""
 
@@ -85,7 +76,7 @@
         async with soak.reserve_process(random) as process:
             if process is not None:
                 process.send_signal(signal.SIGSTOP)
-                await _wait_fault_duration(random)
+                await wait_fault_duration(random)
                 process.send_signal(signal.SIGCONT)
 
 
@@ -98,7 +89,7 @@
         """Set a failure mode on one proxy."""
         proxy = random.choice(soak.proxies)
         proxy.failure_mode = random.choice(PROXY_FAILURE_MODES)
-        await _wait_fault_duration(random)
+        await wait_fault_duration(random)
         proxy.failure_mode = 'none'
 
 
@@ -111,7 +102,7 @@
         """Replace the behaviour of one target."""
         target = random.choice(list(soak.fleet.targets.values()))
         target.behaviour = random.choice(BEHAVIOURS)
-        await _wait_fault_duration(random)
+        await wait_fault_duration(random)
         target.behaviour = HEALTHY
 
 
@@ -128,7 +119,7 @@
         name = random.choice(list(soak.fleet.targets))
         target = soak.fleet.targets[name]
         target.extra_headers = random.choice(ANNOUNCEMENTS)
-        await _wait_fault_duration(random)
+        await wait_fault_duration(random)
         target.extra_headers = ''
         soak.register_restart(name)
 
@@ -147,7 +138,7 @@
         store.change_failure_mode(
             random.choice(('busy', 'many', 'reset', 'lost'))
         )
-        await _wait_fault_duration(random)
+        await wait_fault_duration(random)
         store.change_failure_mode('none')
         store.drop_history()
 
@@ -164,9 +155,9 @@
         """Restore a copy that is as old as the duration of a fault."""
         store = soak.fleet.store
         copy = StoreCopy(store)
-        await _wait_fault_duration(random)
+        await wait_fault_duration(random)
         store.change_failure_mode('reset')
-        await _wait_fault_duration(random)
+        await wait_fault_duration(random)
         written = [
             (table, key, row)
             for (table, key), (row, _revision) in store.rows.items()
@@ -187,7 +178,7 @@
     async def inject(self, soak: 'Soak', random: Random) -> None:
         """Write the version and wait the duration of a fault."""
         soak.fleet.configure()
-        await _wait_fault_duration(random)
+        await wait_fault_duration(random)
 
 
 FAULTS: tuple[Fault, ...] = (
@@ -200,8 +191,10 @@
     StoreOutage(),
     StoreRestore(),
     NewVersion(),
+    Burst(),
+    MachinePace(),
+    Departure(),
+    Resize(),
+    Crowd(),
+    OddInput(),
 )
-
-
-async def _wait_fault_duration(random: Random) -> None:
-    await asyncio.sleep(random.uniform(MIN_FAULT_S, MAX_FAULT_S))
--- a/src/currantspur/soak/invariants.py
+++ b/src/currantspur/soak/invariants.py
@@ -5,7 +5,8 @@
 
 from currantspur.messages.base import Message
 from currantspur.platform import PLATFORM_NAMES
-from currantspur.standins.target import RESPONSE_BODY, TargetStandin
+from currantspur.standins.behaviours import RESPONSE_BODY
+from currantspur.standins.target import TargetStandin
 from currantspur.wire.names import KEY_HEADER
 
 # Statuses that promise that the request was not and will not be executed.
--- a/src/currantspur/soak/processes.py
+++ b/src/currantspur/soak/processes.py
@@ -39,9 +39,14 @@
                 stderr=log,
             )
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the process was started and has not ended."""
+        return self.process is not None and self.process.returncode is None
+
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Send a signal to this process, by its id; do nothing if it ended."""
-        if self.process is not None and self.process.returncode is None:
+        if self.process is not None and self.is_running:
             self.process.send_signal(signal_number)
 
     async def stop(
--- a/src/currantspur/soak/run.py
+++ b/src/currantspur/soak/run.py
@@ -2,15 +2,18 @@
 
 import asyncio
 import tempfile
+from collections import Counter
 from collections.abc import AsyncGenerator
 from contextlib import AsyncExitStack, asynccontextmanager
 from itertools import product
 from pathlib import Path
 from random import Random
+from typing import Any
 
 import aiohttp
 
 from currantspur.platform import PLATFORM_NAMES
+from currantspur.soak.fault import Fault
 from currantspur.soak.faults import FAULTS
 from currantspur.soak.invariants import (
     OK,
@@ -21,6 +24,7 @@
 from currantspur.soak.processes import EntryProcess
 from currantspur.soak.proxy import Proxy
 from currantspur.standins import Fleet
+from currantspur.standins.behaviours import HEALTHY
 from currantspur.standins.fleet import (
     API_KEY,
     IDEMPOTENT_PREFIX,
@@ -29,7 +33,6 @@
     find_free_address,
     make_settings,
 )
-from currantspur.standins.target import HEALTHY
 from currantspur.wire.client_middleware import disable_automatic_retry
 
 ZONES = ('north-1', 'north-2', 'south-1')
@@ -56,6 +59,7 @@
 
     __slots__ = (
         'call_records',
+        'ended_processes',
         'fleet',
         'is_stopping',
         'processes',
@@ -66,14 +70,14 @@
         'session',
         'stack',
         'target_places',
-        'target_restarts',
+        'target_starts',
     )
 
     def __init__(self, stack: AsyncExitStack, seed: int) -> None:
         self.stack = stack
         # Zone and address of each target, by its name.
         self.target_places: dict[str, tuple[str, str]] = {}
-        self.target_restarts = 0
+        self.target_starts: Counter[str] = Counter()
         self.random = Random(seed)
         self.fleet = Fleet(stack)
         self.proxies: list[Proxy] = []
@@ -81,6 +85,8 @@
         # Settings paths identify the reserved processes.
         self.reserved_paths: set[str] = set()
         self.call_records: list[CallRecord] = []
+        # Processes that ended though no fault ended them.
+        self.ended_processes: list[Violation] = []
         self.requests_sent = 0
         self.is_stopping = False
         self.session: aiohttp.ClientSession | None = None
@@ -119,13 +125,16 @@
         self.proxies.append(proxy)
         return proxy
 
+    def register_target(self, name: str, **changes: Any) -> None:
+        """Write the row of a target at its proxy; changes replace fields."""
+        zone, address = self.target_places[name]
+        row = {'born': self.target_starts[name], 'address': address, **changes}
+        self.fleet.register_target(name, zone, **row)
+
     def register_restart(self, name: str) -> None:
         """Write the row of a target as after a restart under its name."""
-        zone, address = self.target_places[name]
-        self.target_restarts += 1
-        self.fleet.register_target(
-            name, zone, address=address, born=self.target_restarts
-        )
+        self.target_starts[name] += 1
+        self.register_target(name)
 
     @asynccontextmanager
     async def reserve_process(
@@ -151,9 +160,14 @@
             self.reserved_paths.discard(str(reserved.settings_path))
 
     async def inject_faults(self, random: Random) -> None:
-        """Inject random faults one after the other until the soak stops."""
+        """Inject faults one after the other until the soak stops.
+
+        Each kind comes once before any comes again.
+        """
+        waiting: list[Fault] = []
         while not self.is_stopping:
-            await random.choice(FAULTS).inject(self, random)
+            waiting = waiting or random.sample(FAULTS, len(FAULTS))
+            await waiting.pop().inject(self, random)
             await asyncio.sleep(random.uniform(*FAULT_PAUSE_RANGE_S))
 
     async def run_caller(self, random: Random) -> None:
@@ -204,7 +218,7 @@
                 if await self.send_request(self.random) == OK
                 else 0
             )
-        violations = list(
+        violations = self.ended_processes + list(
             check_invariants(self.call_records, self.fleet.targets.values())
         )
         if successes < CONSECUTIVE_SUCCESSES:
@@ -241,7 +255,7 @@
         target = await self.fleet.open_target(name, zone)
         proxy = await self.open_proxy(target.address)
         self.target_places[name] = (zone, proxy.address)
-        self.fleet.register_target(name, zone, address=proxy.address)
+        self.register_target(name)
 
     async def _wait_until_ready(self) -> None:
         async with asyncio.timeout(READY_TIMEOUT_S):
@@ -297,6 +311,14 @@
     for target in soak.fleet.targets.values():
         target.behaviour = HEALTHY
         target.extra_headers = ''
+        target.pace_percent = None
     for process in soak.processes:
+        if not process.is_running:
+            soak.ended_processes.append(
+                Violation(
+                    invariant='a process ended by itself',
+                    request_id=process.settings.instance,
+                )
+            )
         await process.stop()
         await process.start()
--- a/src/currantspur/standins/fleet.py
+++ b/src/currantspur/standins/fleet.py
@@ -13,8 +13,9 @@
 from currantspur.daemon import Daemon
 from currantspur.messages.limits import FleetLimits
 from currantspur.settings import DaemonSettings
+from currantspur.standins.behaviours import HEALTHY, Behaviour
 from currantspur.standins.store import StoreStandin
-from currantspur.standins.target import HEALTHY, Behaviour, TargetStandin
+from currantspur.standins.target import TargetStandin
 from currantspur.tasks import LineSink
 
 ROUTE_HOST: Final = 'service.example'
--- a/src/currantspur/standins/target.py
+++ b/src/currantspur/standins/target.py
@@ -3,26 +3,18 @@
 import asyncio
 import socket
 import struct
-from abc import ABC, abstractmethod
 from collections import OrderedDict
 from collections.abc import Mapping
-from http import HTTPStatus
-from typing import Final
 
+from currantspur.standins.behaviours import HEALTHY, Behaviour
 from currantspur.standins.connections import ConnectionServer
 
 MAX_CACHED_OBJECTS = 25
 # A cached object takes this share of the work of an uncached one.
 CACHED_WORK_SHARE = 0.3
 MAX_QUEUED_PER_SLOT = 3
-RESPONSE_BODY = b'the whole answer of a target'
-# Longer than a response takes to arrive on loopback.
-DELIVERY_PAUSE_S = 0.03
-WRONG_TARGET, SHED = (
-    HTTPStatus.MISDIRECTED_REQUEST,
-    HTTPStatus.SERVICE_UNAVAILABLE,
-)
-OK, FAILED = HTTPStatus.OK, HTTPStatus.INTERNAL_SERVER_ERROR
+UNCACHED_WORK_S = 0.02
+USUAL_PACE_PERCENT = 100
 # A linger time of 0 s: the kernel resets the connection when it is closed.
 RESET_AT_CLOSE = struct.pack('ii', 1, 0)
 
@@ -66,175 +58,6 @@
         reset_connection(self.writer)
 
 
-class Behaviour(ABC):
-    """Strategy by which a target responds to requests."""
-
-    __slots__ = ()
-
-    @abstractmethod
-    async def respond(
-        self, target: 'TargetStandin', request: ReceivedRequest
-    ) -> bool:
-        """Respond and return whether the connection stays open."""
-
-
-class Healthy(Behaviour):
-    """Respond as a working target does."""
-
-    __slots__ = ()
-
-    async def respond(
-        self, target: 'TargetStandin', request: ReceivedRequest
-    ) -> bool:
-        """Execute the request and respond with 200.
-
-        Respond with 421 if another target was expected, with 503 if the
-        queue is full; both mean that the request was not executed.
-        """
-        if request.headers.get('x-expect-instance', target.name) != target.name:
-            request.writer.write(
-                target.format_head(request, WRONG_TARGET, length=0)
-            )
-            return True
-        if not await target.execute(request):
-            request.writer.write(
-                target.format_head(
-                    request, SHED, length=0, extra='X-Not-Executed: 1\r\n'
-                )
-            )
-            return True
-        request.writer.write(
-            target.format_head(request, OK, length=len(RESPONSE_BODY))
-            + RESPONSE_BODY
-        )
-        return True
-
-
-class Failing(Behaviour):
-    """Execute each request and respond with 500."""
-
-    __slots__ = ()
-
-    async def respond(
-        self, target: 'TargetStandin', request: ReceivedRequest
-    ) -> bool:
-        """Execute the request and respond with 500."""
-        await target.execute(request)
-        request.writer.write(
-            target.format_head(request, FAILED, length=len(RESPONSE_BODY))
-            + RESPONSE_BODY
-        )
-        return True
-
-
-class Shedding(Behaviour):
-    """Reject every request without executing it."""
-
-    __slots__ = ()
-
-    async def respond(
-        self, target: 'TargetStandin', request: ReceivedRequest
-    ) -> bool:
-        """Respond with 503 and the header for requests not executed."""
-        request.writer.write(
-            target.format_head(
-                request, SHED, length=0, extra='X-Not-Executed: 1\r\n'
-            )
-        )
-        return True
-
-
-class Resetting(Behaviour):
-    """Execute each request, then reset the connection."""
-
-    __slots__ = ()
-
-    async def respond(
-        self, target: 'TargetStandin', request: ReceivedRequest
-    ) -> bool:
-        """Execute the request and reset the connection without a response."""
-        await target.execute(request)
-        request.reset()
-        return False
-
-
-class Truncating(Behaviour):
-    """Close the connection before the whole response body was sent."""
-
-    __slots__ = ()
-
-    async def respond(
-        self, target: 'TargetStandin', request: ReceivedRequest
-    ) -> bool:
-        """Send half of the body length that Content-Length states."""
-        await target.execute(request)
-        head = target.format_head(request, OK, length=2 * len(RESPONSE_BODY))
-        request.writer.write(head + RESPONSE_BODY)
-        return False
-
-
-class Unframed(Behaviour):
-    """Respond without Content-Length; the body ends with the connection."""
-
-    __slots__ = ('is_reset',)
-
-    def __init__(self, *, is_reset: bool) -> None:
-        self.is_reset = is_reset
-
-    async def respond(
-        self, target: 'TargetStandin', request: ReceivedRequest
-    ) -> bool:
-        """Close the connection after the body, or reset it after part of it."""
-        await target.execute(request)
-        body = RESPONSE_BODY[:5] if self.is_reset else RESPONSE_BODY
-        request.writer.write(
-            target.format_head(request, OK, length=None) + body
-        )
-        await request.writer.drain()
-        if self.is_reset:
-            await asyncio.sleep(DELIVERY_PAUSE_S)
-            request.reset()
-        return False
-
-
-class Duplicating(Behaviour):
-    """Send each response twice, the second after a pause."""
-
-    __slots__ = ()
-
-    async def respond(
-        self, target: 'TargetStandin', request: ReceivedRequest
-    ) -> bool:
-        """Execute the request once and send its response twice."""
-        await target.execute(request)
-        response = (
-            target.format_head(request, OK, length=len(RESPONSE_BODY))
-            + RESPONSE_BODY
-        )
-        request.writer.write(response)
-        await request.writer.drain()
-        await asyncio.sleep(DELIVERY_PAUSE_S)
-        request.writer.write(response)
-        return True
-
-
-class Silent(Behaviour):
-    """Execute requests and never respond."""
-
-    __slots__ = ()
-
-    async def respond(
-        self, target: 'TargetStandin', request: ReceivedRequest
-    ) -> bool:
-        """Wait until the peer sends a byte or closes the connection."""
-        await target.execute(request)
-        await request.reader.read(1)
-        return False
-
-
-HEALTHY: Final = Healthy()
-
-
 class TargetStandin(ConnectionServer):
     """Execute requests in a few slots and cache objects by key.
 
@@ -247,6 +70,7 @@
         'executed_request_ids',
         'extra_headers',
         'name',
+        'pace_percent',
         'queued',
         'received',
         'slot_semaphore',
@@ -260,7 +84,7 @@
         name: str,
         address: str,
         slots: int = 3,
-        uncached_work_s: float = 0.02,
+        uncached_work_s: float = UNCACHED_WORK_S,
         behaviour: Behaviour = HEALTHY,
     ) -> None:
         """Create a target; uncached work takes uncached_work_s seconds."""
@@ -276,6 +100,9 @@
         self.executed_request_ids: list[str] = []
         self.slot_semaphore = asyncio.Semaphore(slots)
         self.queued = 0
+        # How long work takes on the machine, as a share of the usual time; load
+        # reports state it unless it is None.
+        self.pace_percent: int | None = None
         self.cached_objects: OrderedDict[str, None] = OrderedDict()
 
     async def serve(
@@ -299,7 +126,10 @@
                 request.headers.get('x-request-id', '')
             )
             await asyncio.sleep(
-                self.uncached_work_s * self._cache_object(request)
+                self.uncached_work_s
+                * self._cache_object(request)
+                * (self.pace_percent or USUAL_PACE_PERCENT)
+                / USUAL_PACE_PERCENT
             )
         return True
 
@@ -316,6 +146,8 @@
         # asyncio.Semaphore has no public attribute for its count.
         free = self.slot_semaphore._value
         load = f'{self.slots - free},{self.queued},{self.slots}'
+        if self.pace_percent is not None:
+            load = f'{load},{self.pace_percent}'
         request_id = request.headers.get('x-request-id', '')
         return (
             f'HTTP/1.1 {int(status)} Answer\r\n'
--- a/tests/test_connection_reuse.py
+++ b/tests/test_connection_reuse.py
@@ -12,12 +12,13 @@
     IdleTimes,
 )
 from currantspur.errors import TargetError
+from currantspur.standins.behaviours import Healthy
 from currantspur.standins.fleet import (
     IDEMPOTENT_PREFIX,
     NON_IDEMPOTENT_PREFIX,
     wait_until,
 )
-from currantspur.standins.target import Healthy, reset_connection
+from currantspur.standins.target import reset_connection
 from currantspur.wire.pooled_connections import parse_idle_timeout_s
 from tests.fleets import open_fleet, send_request
 from tests.playback import HEAD, WHOLE, Playback, join
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -7,8 +7,8 @@
 import pytest
 
 from currantspur.settings.document import split_address
+from currantspur.standins.behaviours import RESPONSE_BODY, Behaviour
 from currantspur.standins.fleet import API_KEY, IDEMPOTENT_PREFIX, ROUTE_HOST
-from currantspur.standins.target import RESPONSE_BODY, Behaviour
 from tests.fleets import first_value, open_fleet, send_request
 
 CALLERS = 40
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -11,6 +11,7 @@
 from currantspur.messages.configuration import CallerLimits
 from currantspur.platform import PLATFORM_NAMES
 from currantspur.settings.document import split_address
+from currantspur.standins.behaviours import RESPONSE_BODY, Behaviour
 from currantspur.standins.connections import ConnectionServer
 from currantspur.standins.fleet import (
     API_KEY,
@@ -20,7 +21,6 @@
     ListSink,
     find_free_address,
 )
-from currantspur.standins.target import RESPONSE_BODY, Behaviour
 from currantspur.tasks import Journal, SystemClock
 from currantspur.wire.client_guard import ClientGuard
 from currantspur.wire.limit_log import LimitLog
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -7,6 +7,7 @@
 
 from currantspur import shutdown
 from currantspur.settings.document import split_address
+from currantspur.standins.behaviours import RESPONSE_BODY
 from currantspur.standins.fleet import (
     API_KEY,
     IDEMPOTENT_PREFIX,
@@ -14,7 +15,6 @@
     ROUTE_HOST,
     wait_until,
 )
-from currantspur.standins.target import RESPONSE_BODY
 from tests.fleets import first_value, open_fleet
 
 WORK_S = 0.3
--- a/tests/test_request_handler.py
+++ b/tests/test_request_handler.py
@@ -4,14 +4,7 @@
 import pytest
 
 from currantspur.settings.document import split_address
-from currantspur.standins.fleet import (
-    API_KEY,
-    IDEMPOTENT_PREFIX,
-    NON_IDEMPOTENT_PREFIX,
-    ROUTE_HOST,
-    wait_until,
-)
-from currantspur.standins.target import (
+from currantspur.standins.behaviours import (
     RESPONSE_BODY,
     Duplicating,
     Failing,
@@ -21,6 +14,13 @@
     Truncating,
     Unframed,
 )
+from currantspur.standins.fleet import (
+    API_KEY,
+    IDEMPOTENT_PREFIX,
+    NON_IDEMPOTENT_PREFIX,
+    ROUTE_HOST,
+    wait_until,
+)
 from tests.fleets import (
     OBJECT_PATH,
     first_value,
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -6,6 +6,7 @@
 
 from currantspur import shutdown
 from currantspur.settings.document import split_address
+from currantspur.standins.behaviours import Shedding, Silent
 from currantspur.standins.fleet import (
     API_KEY,
     IDEMPOTENT_PREFIX,
@@ -13,7 +14,6 @@
     ROUTE_HOST,
     wait_until,
 )
-from currantspur.standins.target import Shedding, Silent
 from tests.fleets import first_value, open_fleet, send_request
 
 # Times in seconds.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,5 @@
 import asyncio
+import signal
 
 import pytest
 
@@ -6,8 +7,10 @@
 from currantspur.soak import run_seed
 from currantspur.soak.invariants import CallRecord, check_invariants
 from currantspur.soak.proxy import Proxy
+from currantspur.soak.run import Soak
+from currantspur.standins.behaviours import RESPONSE_BODY, Unframed
 from currantspur.standins.fleet import find_free_address
-from currantspur.standins.target import RESPONSE_BODY, TargetStandin, Unframed
+from currantspur.standins.target import TargetStandin
 
 # Seeds that failed once stay in this list, each with its cause.
 # 12: the proxy turned a reset by a target into a regular close, so that a
@@ -21,6 +24,23 @@
     assert await run_seed(seed, seconds=SECONDS) == []
 
 
+async def end_one_process(soak, _random):
+    process = soak.processes[0]
+    process.send_signal(signal.SIGKILL)
+    await process.process.wait()
+    soak.is_stopping = True
+
+
+# Guards against a process that ends under input from outside, and is not seen
+# to: it is started again before the fleet is checked.
+async def test_ended_process_is_a_violation(monkeypatch):
+    monkeypatch.setattr(Soak, 'inject_faults', end_one_process)
+    violations = await run_seed(1, seconds=0.1)
+    assert {each.invariant for each in violations} == {
+        'a process ended by itself'
+    }
+
+
 def make_target(*executed_request_ids):
     target = TargetStandin(name='t', address='127.0.0.1:1')
     target.executed_request_ids.extend(executed_request_ids)
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -3,8 +3,8 @@
     InMemorySpanExporter,
 )
 
+from currantspur.standins.behaviours import Shedding
 from currantspur.standins.fleet import wait_until
-from currantspur.standins.target import Shedding
 from currantspur.wire.traces import OtlpTracer, open_otlp_tracer
 from tests.fleets import first_value, open_fleet, send_request
 
--- a/tests/test_untrusted_clients.py
+++ b/tests/test_untrusted_clients.py
@@ -12,6 +12,7 @@
 from currantspur.settings import DaemonSettings
 from currantspur.settings.document import split_address
 from currantspur.soak.processes import EntryProcess
+from currantspur.standins.behaviours import Behaviour
 from currantspur.standins.fleet import (
     API_KEY,
     IDEMPOTENT_PREFIX,
@@ -20,7 +21,6 @@
     Fleet,
     find_free_address,
 )
-from currantspur.standins.target import Behaviour
 
 # Machine of the smallest instance; the descriptors are fewer, so that few
 # clients reach the bound.
