Let faulty stand-ins of targets reject requests while their queue is full

Duplicating and unframed stand-ins answered 200 also when their queue was full and nothing had run, which bursts make common.

--- a/src/currantspur/standins/behaviours.py
+++ b/src/currantspur/standins/behaviours.py
@@ -30,6 +30,20 @@
         """Respond and return whether the connection stays open."""
 
 
+async def execute_or_shed(
+    target: 'TargetStandin', request: 'ReceivedRequest'
+) -> bool:
+    """Execute a request, or reject it with 503 if the queue is full."""
+    is_executed = await target.execute(request)
+    if not is_executed:
+        request.writer.write(
+            target.format_head(
+                request, SHED, length=0, extra='X-Not-Executed: 1\r\n'
+            )
+        )
+    return is_executed
+
+
 class Healthy(Behaviour):
     """Respond as a working target does."""
 
@@ -52,12 +66,7 @@
                 target.format_head(request, WRONG_TARGET, length=0)
             )
             return True
-        if not await target.execute(request):
-            request.writer.write(
-                target.format_head(
-                    request, SHED, length=0, extra='X-Not-Executed: 1\r\n'
-                )
-            )
+        if not await execute_or_shed(target, request):
             return True
         request.writer.write(
             target.format_head(
@@ -77,7 +86,8 @@
         self, target: 'TargetStandin', request: 'ReceivedRequest'
     ) -> bool:
         """Execute the request and respond with 500."""
-        await target.execute(request)
+        if not await execute_or_shed(target, request):
+            return True
         request.writer.write(
             target.format_head(request, FAILED, length=len(RESPONSE_BODY))
             + RESPONSE_BODY
@@ -111,7 +121,8 @@
         self, target: 'TargetStandin', request: 'ReceivedRequest'
     ) -> bool:
         """Execute the request and reset the connection without a response."""
-        await target.execute(request)
+        if not await execute_or_shed(target, request):
+            return True
         request.reset()
         return False
 
@@ -125,7 +136,8 @@
         self, target: 'TargetStandin', request: 'ReceivedRequest'
     ) -> bool:
         """Send half of the body length that Content-Length states."""
-        await target.execute(request)
+        if not await execute_or_shed(target, request):
+            return True
         head = target.format_head(request, OK, length=2 * len(RESPONSE_BODY))
         request.writer.write(head + RESPONSE_BODY)
         return False
@@ -161,7 +173,8 @@
         self, target: 'TargetStandin', request: 'ReceivedRequest'
     ) -> bool:
         """Close the connection after the body, or reset it after part of it."""
-        await target.execute(request)
+        if not await execute_or_shed(target, request):
+            return True
         body = RESPONSE_BODY[:5] if self.is_reset else RESPONSE_BODY
         request.writer.write(
             target.format_head(request, OK, length=None) + body
@@ -182,7 +195,8 @@
         self, target: 'TargetStandin', request: 'ReceivedRequest'
     ) -> bool:
         """Execute the request once and send its response twice."""
-        await target.execute(request)
+        if not await execute_or_shed(target, request):
+            return True
         response = (
             target.format_head(request, OK, length=len(RESPONSE_BODY))
             + RESPONSE_BODY
@@ -203,7 +217,8 @@
         self, target: 'TargetStandin', request: 'ReceivedRequest'
     ) -> bool:
         """Wait until the peer sends a byte or closes the connection."""
-        await target.execute(request)
+        if not await execute_or_shed(target, request):
+            return True
         await request.reader.read(1)
         return False
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,10 +5,11 @@
 
 from currantspur.settings.document import split_address
 from currantspur.soak import run_seed
+from currantspur.soak.faults import BEHAVIOURS
 from currantspur.soak.invariants import CallRecord, check_invariants
 from currantspur.soak.proxy import Proxy
 from currantspur.soak.run import Soak
-from currantspur.standins.behaviours import RESPONSE_BODY, Unframed
+from currantspur.standins.behaviours import HEALTHY, RESPONSE_BODY, Unframed
 from currantspur.standins.fleet import find_free_address
 from currantspur.standins.target import TargetStandin
 
@@ -41,6 +42,24 @@
     }
 
 
+# Guards against a stand-in that answers what it did not run, which looked like
+# a fault of the instances: its queue was full (seed 1027, with bursts).
+@pytest.mark.parametrize('behaviour', [HEALTHY, *BEHAVIOURS])
+async def test_full_target_answers_nothing_with_success(behaviour):
+    target = TargetStandin(
+        name='t', address=find_free_address(), slots=0, behaviour=behaviour
+    )
+    await target.start()
+    reader, writer = await asyncio.open_connection(
+        *split_address(target.address)
+    )
+    writer.write(b'GET / HTTP/1.1\r\nX-Request-Id: r\r\n\r\n')
+    assert (await reader.readline()).split()[1] == b'503'
+    writer.close()
+    await target.close()
+    assert not target.executed_request_ids
+
+
 def make_target(*executed_request_ids):
     target = TargetStandin(name='t', address='127.0.0.1:1')
     target.executed_request_ids.extend(executed_request_ids)
