Leave tables that were not read out of heartbeats

Since numbers from peers are checked, heartbeats of an instance that had read no table yet were dropped as malformed: their era was -1. Peers did not hear of a new instance until its first read, which an outage of the store delays. Such tables are left out now, and -1 is accepted from older builds. Found on reading the change; two cases of the new test failed before.

--- a/src/currantspur/wire/datagrams.py
+++ b/src/currantspur/wire/datagrams.py
@@ -82,9 +82,10 @@
 def split_revisions(revisions: Mapping[str, int]) -> dict[str, Any]:
     """Return the fields of a document for revisions by table.
 
-    Versions are those of the latest era; older builds read them alone.
+    Versions are those of the latest era; older builds read them alone. Tables
+    that were not read yet are left out.
     """
-    era = max(map(get_era, revisions.values()), default=0)
+    era = max((0, *map(get_era, revisions.values())))
     return {
         'era': era,
         'revisions': {
@@ -98,7 +99,8 @@
 def parse_revisions(document: Any) -> dict[str, int]:
     """Return row revisions by table; those of older builds have no era."""
     era = document.get('era')
-    if era is None:
+    # Older builds send -1 until they have read a table.
+    if era is None or int(era) < 0:
         return {}
     return {
         str(table): parse_revision(era, version)
--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -1,10 +1,13 @@
 import zlib
 
+import orjson
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from currantspur.messages import Heartbeat, Instance
+from currantspur.messages.revisions import NO_REVISION
+from currantspur.wire.datagrams import unpack
 from currantspur.wire.heartbeats import (
     MAX_DATAGRAM_BYTES,
     JsonInstanceCodec,
@@ -45,6 +48,28 @@
     assert decode_datagram(encode_heartbeat(heartbeat)) == heartbeat
 
 
+# Guards against a new instance that no peer hears until it has read a table,
+# which takes as long as the store is away.
+@pytest.mark.parametrize('era', [-1, 0])
+@pytest.mark.parametrize(
+    ('revisions', 'expected'),
+    [
+        ({}, {}),
+        ({'op': NO_REVISION, 'servers': NO_REVISION}, {}),
+        ({'op': NO_REVISION, 'servers': 5}, {'servers': 5}),
+    ],
+)
+def test_tables_that_were_not_read_are_left_out(revisions, expected, era):
+    heartbeat = Heartbeat(
+        instance=INSTANCE, incarnation=1, sequence_number=2, revisions=revisions
+    )
+    datagram = encode_heartbeat(heartbeat)
+    if not expected:
+        # As older builds encode it.
+        datagram = zlib.compress(orjson.dumps({**unpack(datagram), 'era': era}))
+    assert decode_datagram(datagram).revisions == expected
+
+
 def test_oversized_heartbeat_omits_lowest_rates():
     rates = {f'team-{number}': 1.0 + number for number in range(500)}
     heartbeat = Heartbeat(
