--- a/tests/test_heartbeats.py
+++ b/tests/test_heartbeats.py
@@ -1,3 +1,4 @@
+import asyncio
 import zlib
 
 import orjson
@@ -7,6 +8,7 @@
 
 from currantspur.messages import Heartbeat, Instance
 from currantspur.messages.revisions import NO_REVISION
+from currantspur.tasks.membership import HEARTBEAT_INTERVAL_S
 from currantspur.wire.datagrams import unpack
 from currantspur.wire.heartbeats import (
     MAX_DATAGRAM_BYTES,
@@ -14,6 +16,7 @@
     decode_datagram,
     encode_heartbeat,
 )
+from tests.fleets import open_fleet
 
 INSTANCE = Instance(
     name='entry-1',
@@ -70,6 +73,21 @@
     assert decode_datagram(datagram).revisions == expected
 
 
+# Guards against an encoder and a decoder of datagrams that disagree: what is
+# malformed is dropped without a trace.
+async def test_peers_take_all_heartbeats_of_a_new_fleet():
+    async with open_fleet(zones=('north-1', 'north-2', 'south-1')) as (
+        fleet,
+        _session,
+    ):
+        await asyncio.sleep(2 * HEARTBEAT_INTERVAL_S)
+        ports = [
+            daemon.membership.heartbeat_port
+            for daemon in fleet.daemons.values()
+        ]
+        assert [port.malformed_count for port in ports] == [0, 0, 0]
+
+
 def test_oversized_heartbeat_omits_lowest_rates():
     rates = {f'team-{number}': 1.0 + number for number in range(500)}
     heartbeat = Heartbeat(
