--- a/src/currantspur/soak/input_faults.py
+++ b/src/currantspur/soak/input_faults.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Final
 
+from currantspur.platform import PLATFORM_NAMES
 from currantspur.platform.names import TARGET_TABLE
 from currantspur.settings.document import split_address
 from currantspur.soak.fault import Fault, wait_fault_duration
@@ -17,7 +18,7 @@
     from currantspur.soak.run import Soak
 
 CROWD_SIZE = 24
-READY_AND_ROUTED_PATHS = ('/-/ready', '/none/1', f'{IDEMPOTENT_PREFIX}1')
+PATHS = (PLATFORM_NAMES.ready_path, '/none/1', f'{IDEMPOTENT_PREFIX}1')
 PIPELINED_REQUESTS = 300
 ROUTE_QUERY: Final = f'host={ROUTE_HOST}&method=GET&path={IDEMPOTENT_PREFIX}1'
 ROUTE_QUESTION: Final = (
@@ -31,6 +32,9 @@
     b'{"state": "ready"}',
     b'{"service": "things", "address": "127.0.0.1:0", "zone": 7}',
 )
+ODD_KEY_FIELD: Final = b''.join(
+    (PLATFORM_NAMES.object_key_header.encode(), b': \xff\r\n\r\n')
+)
 FULL_DATAGRAM_BYTES = 1400
 ODD_DATAGRAMS: Final = (b'', b'\x00', b'{}', b'x' * FULL_DATAGRAM_BYTES)
 # The configuration of the fleet allows bodies of 4,096 bytes.
@@ -104,7 +108,7 @@
 
 def _draw_input(random: Random) -> bytes:
     """Return what one client of a crowd sends; most of it is unfinished."""
-    path = random.choice(READY_AND_ROUTED_PATHS)
+    path = random.choice(PATHS)
     head = (
         f'POST {path} HTTP/1.1\r\nHost: {ROUTE_HOST}\r\n'
         f'Authorization: Bearer {API_KEY}\r\n'
@@ -121,7 +125,7 @@
             b''.join((head, almost_whole, BODY)),
             b''.join((head, too_large, BODY)),
             b''.join((head, chunked, CHUNKS)),
-            b''.join((head, b'X-Affinity-Key: \xff\r\n\r\n')),
+            b''.join((head, ODD_KEY_FIELD)),
             whole * PIPELINED_REQUESTS,
             whole.replace(b' HTTP', b'#x HTTP'),
             whole.replace(b'GET', b'CONNECT'),
--- a/src/currantspur/soak/load_faults.py
+++ b/src/currantspur/soak/load_faults.py
@@ -75,6 +75,6 @@
     async def inject(self, soak: 'Soak', random: Random) -> None:
         """Write the row with other slots, then as it was."""
         name = random.choice(list(soak.fleet.targets))
-        soak.register_target(name, capacity_slots=random.choice(SLOT_COUNTS))
+        soak.register_target(name, slots=random.choice(SLOT_COUNTS))
         await wait_fault_duration(random)
         soak.register_target(name)
--- a/src/currantspur/standins/behaviours.py
+++ b/src/currantspur/standins/behaviours.py
@@ -3,7 +3,7 @@
 import asyncio
 from abc import ABC, abstractmethod
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, ClassVar, Final
 
 if TYPE_CHECKING:
     from currantspur.standins.target import ReceivedRequest, TargetStandin
@@ -47,11 +47,9 @@
 class Healthy(Behaviour):
     """Respond as a working target does."""
 
-    __slots__ = ('extra',)
-
-    def __init__(self, *, extra: str = '') -> None:
-        """Add lines, with their ends, to the heads of successes."""
-        self.extra = extra
+    __slots__ = ()
+    # Lines, with their ends, in the heads of successes.
+    extra: ClassVar[str] = ''
 
     async def respond(
         self, target: 'TargetStandin', request: 'ReceivedRequest'
@@ -147,9 +145,7 @@
     """Respond as a working target, and close idle connections unannounced."""
 
     __slots__ = ()
-
-    def __init__(self) -> None:
-        super().__init__(extra='Keep-Alive: timeout=5\r\n')
+    extra = 'Keep-Alive: timeout=5\r\n'
 
     async def respond(
         self, target: 'TargetStandin', request: 'ReceivedRequest'
--- a/src/currantspur/standins/fleet.py
+++ b/src/currantspur/standins/fleet.py
@@ -143,15 +143,20 @@
         self.register_target(name, zone)
         return target
 
-    def register_target(self, name: str, zone: str, **changes: Any) -> None:
-        """Write the row of a target; changes replace fields of it."""
+    def register_target(
+        self, name: str, zone: str, *, slots: int | None = None, **changes: Any
+    ) -> None:
+        """Write the row of a target; changes replace fields of it.
+
+        By default it states the slots that the target has.
+        """
         target = self.targets[name]
         row = {
             'service': 'things',
             'address': target.address,
             'zone': zone,
             'config_version': 'v1',
-            'capacity_slots': target.slots,
+            'capacity_slots': slots or target.slots,
             'state': 'ready',
             'cold_remaining_s': 0,
             'sequence': 1,
