Log an error once for each batch that it fails

Since messages of a batch fail alone, an error of the whole batch was logged with its traceback for every message, thousands under load. Found on the read-through; the new case of tests/test_task.py counted three lines for three messages before.

--- a/src/currantspur/tasks/admission.py
+++ b/src/currantspur/tasks/admission.py
@@ -34,7 +34,7 @@
 from currantspur.pipelines.route_explanation import explain_admission
 from currantspur.tasks.clock import Clock
 from currantspur.tasks.journal import Journal
-from currantspur.tasks.mailbox import Envelope
+from currantspur.tasks.mailbox import Envelope, log_failure
 from currantspur.tasks.startup_hold import StartupHold
 from currantspur.tasks.task import Task
 
@@ -104,6 +104,7 @@
                 for context in contexts:
                     unchecked.popleft().set_reply(context)
             except Exception as error:
+                log_failure(error)
                 unchecked.popleft().fail(error)
 
     def handle_message(self, message: Message) -> Message | None:
--- a/src/currantspur/tasks/mailbox.py
+++ b/src/currantspur/tasks/mailbox.py
@@ -15,6 +15,15 @@
 MAX_WAITING_ENVELOPES = 20_000
 
 
+def log_failure(error: Exception) -> None:
+    """Log the type of a task's error and the lines of code that led to it.
+
+    The text of an error or local values may contain an API key.
+    """
+    traceback = ''.join(format_tb(error.__traceback__))
+    logger.error('task failed with {}\n{}', type(error).__name__, traceback)
+
+
 class Envelope:
     """A message and the future of its reply; None if no reply is expected."""
 
@@ -43,23 +52,13 @@
         try:
             reply = handle(self.message)
         except Exception as error:
+            log_failure(error)
             self.fail(error)
         else:
             self.set_reply(reply)
 
     def fail(self, error: Exception) -> None:
-        """Log an error; raise TaskFailedError in the sender if it waits.
-
-        Only the type and the lines of code are logged: the text of an error or
-        local values may contain an API key.
-        """
-        traceback = ''.join(format_tb(error.__traceback__))
-        logger.error(
-            'a task failed at {} with {}\n{}',
-            type(self.message).__name__,
-            type(error).__name__,
-            traceback,
-        )
+        """Raise TaskFailedError in the sender if it still waits for a reply."""
         if self.reply_future is not None and not self.reply_future.done():
             self.reply_future.set_exception(
                 TaskFailedError(type(error).__name__)
--- a/src/currantspur/tasks/task.py
+++ b/src/currantspur/tasks/task.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
 
-from currantspur.tasks.mailbox import Envelope, Mailbox
+from currantspur.tasks.mailbox import Envelope, Mailbox, log_failure
 
 
 class Task(ABC):
@@ -25,6 +25,7 @@
             try:
                 self.receive(envelopes)
             except Exception as error:
+                log_failure(error)
                 for envelope in envelopes:
                     envelope.fail(error)
 
--- a/tests/test_task.py
+++ b/tests/test_task.py
@@ -1,6 +1,7 @@
 import asyncio
 
 import pytest
+from loguru import logger
 
 from currantspur.errors import TaskFailedError
 from currantspur.messages import LookupQuery
@@ -59,6 +60,26 @@
     assert {type(reply) for reply in replies[1:]} == {TaskFailedError}
 
 
+# Guards against a log flooded by one error: it was logged for each message of
+# its batch.
+async def test_error_of_a_batch_is_logged_once():
+    task = FailingTask()
+    requests = [
+        asyncio.create_task(
+            task.mailbox.ask(LookupQuery(region='bad', availability_zone=''))
+        )
+        for _ in range(3)
+    ]
+    lines = []
+    sink = logger.add(lines.append, level='ERROR')
+    await asyncio.sleep(0)
+    runner = asyncio.create_task(task.run())
+    await asyncio.gather(*requests, return_exceptions=True)
+    runner.cancel()
+    logger.remove(sink)
+    assert len(lines) == 1
+
+
 async def fail():
     raise ZeroDivisionError
 
