--- a/src/currantspur/standins/behaviours.py
+++ b/src/currantspur/standins/behaviours.py
@@ -36,14 +36,19 @@
     """Execute a request, or reject it with 503 if the queue is full."""
     is_executed = await target.execute(request)
     if not is_executed:
-        request.writer.write(
-            target.format_head(
-                request, SHED, length=0, extra='X-Not-Executed: 1\r\n'
-            )
-        )
+        reject(target, request)
     return is_executed
 
 
+def reject(target: 'TargetStandin', request: 'ReceivedRequest') -> None:
+    """Respond with 503 and the header for requests not executed."""
+    request.writer.write(
+        target.format_head(
+            request, SHED, length=0, extra='X-Not-Executed: 1\r\n'
+        )
+    )
+
+
 class Healthy(Behaviour):
     """Respond as a working target does."""
 
@@ -101,12 +106,8 @@
     async def respond(
         self, target: 'TargetStandin', request: 'ReceivedRequest'
     ) -> bool:
-        """Respond with 503 and the header for requests not executed."""
-        request.writer.write(
-            target.format_head(
-                request, SHED, length=0, extra='X-Not-Executed: 1\r\n'
-            )
-        )
+        """Reject the request."""
+        reject(target, request)
         return True
 
 
