--- a/src/currantspur/daemon.py
+++ b/src/currantspur/daemon.py
@@ -6,12 +6,6 @@
 from currantspur.background_tasks import BackgroundTasks
 from currantspur.client_limits import AddressKey, ClientLimits
 from currantspur.decisions.idle_connections import bound_idle_connections
-from currantspur.decisions.table_sources import (
-    STORE_SOURCE,
-    count_relays,
-    has_relays,
-    order_sources,
-)
 from currantspur.decisions.topology import Topology
 from currantspur.errors import ListenError
 from currantspur.messages import FleetView, Instance
@@ -20,7 +14,7 @@
 from currantspur.settings import DaemonSettings
 from currantspur.shutdown import GracefulShutdown
 from currantspur.state_metrics import register_state_metrics
-from currantspur.table_followers import add_followers
+from currantspur.table_followers import add_followers, follow_view
 from currantspur.tasks import (
     AdmissionTask,
     Clock,
@@ -350,9 +344,4 @@
 
     def _order_sources(self, view: FleetView) -> None:
         own = self.membership.membership_table.own_heartbeat.instance
-        sources = order_sources(view, own)
-        self.store.source_order = sources
-        self.store.row_ages.set_relay_count(count_relays(view, own))
-        self.followers.follow_relays(
-            is_relayed=sources[0] != STORE_SOURCE, has_readers=has_relays(view)
-        )
+        follow_view(view, own, store=self.store, followers=self.followers)
--- a/src/currantspur/table_followers.py
+++ b/src/currantspur/table_followers.py
@@ -1,9 +1,15 @@
-"""Assembly of the followers of the store's tables."""
+"""Assembly of the followers of the store's tables, and their sources."""
 
 from collections.abc import Mapping
 from random import Random
 
-from currantspur.messages import Message, TableSnapshot
+from currantspur.decisions.table_sources import (
+    STORE_SOURCE,
+    count_relays,
+    has_relays,
+    order_sources,
+)
+from currantspur.messages import FleetView, Instance, Message, TableSnapshot
 from currantspur.pipelines.filter import Filter
 from currantspur.pipelines.instance_rows import InstanceRowDecoder
 from currantspur.platform import OperatorRowDecoder, TargetRowDecoder
@@ -54,3 +60,19 @@
                 on_era=group.record_era,
             )
         )
+
+
+def follow_view(
+    view: FleetView,
+    own: Instance,
+    *,
+    store: FailoverStore,
+    followers: FollowerGroup,
+) -> None:
+    """Read tables from the sources that a new view of the fleet gives."""
+    sources = order_sources(view, own)
+    store.source_order = sources
+    store.row_ages.set_relay_count(count_relays(view, own))
+    followers.follow_relays(
+        is_relayed=sources[0] != STORE_SOURCE, has_readers=has_relays(view)
+    )
