Keep the bodies of GET and HEAD sent behind other requests

With a Content-Length, the target took the next request on that connection for the body, and ran what was hidden there.

Cause: a request was taken for bodiless if its payload was at its end, which is also true of a body that arrived in one piece with its head. It began early with an empty body, beside the caller's own length.

Fix: a request begins early only if its head announces no body; the length of a forwarded request comes from the body that is sent with it, not from the caller's head, so the two cannot differ.

--- a/src/currantspur/wire/names.py
+++ b/src/currantspur/wire/names.py
@@ -89,12 +89,13 @@
     def list_stripped_headers(self) -> frozenset[str]:
         """Return, in lower case, the request headers that are not forwarded.
 
-        The instance sets these headers itself, except for the API key, which
-        targets do not receive.
+        The instance sets these headers itself, the length from the body that
+        it sends, except for the API key, which targets do not receive.
         """
         return frozenset(
             name.lower()
             for name in (
+                CONTENT_LENGTH,
                 self.timeout_ms_header,
                 self.team_header,
                 self.expected_target_header,
--- a/src/currantspur/wire/pipelining.py
+++ b/src/currantspur/wire/pipelining.py
@@ -7,7 +7,7 @@
 from abc import ABC, abstractmethod
 from typing import Any, Final
 
-from aiohttp import web
+from aiohttp import EMPTY_PAYLOAD, web
 from aiohttp.http import RawRequestMessage
 
 from currantspur.wire.client_guard import ClientGuard
@@ -131,7 +131,9 @@
         for message, payload in waiting:
             if not isinstance(message, RawRequestMessage):
                 return
-            may_begin = message.method in EARLY_METHODS and payload.is_eof()
+            # A body that arrived with its head is at its end, but not empty.
+            is_bodiless = payload is EMPTY_PAYLOAD
+            may_begin = message.method in EARLY_METHODS and is_bodiless
             if not may_begin or len(self.early_requests) >= MAX_EARLY_REQUESTS:
                 return
             if not self._begin_early(message):
