Replace polls that a silent store never answers

Requests ran with a withdrawn key, on an old service, and at targets that had drained.

Cause: a store never answers calls that arrive, or whose answer is due, while it is silent. All instances learn of a change at once and poll for the next one at once, 0.25 s later; those polls were lost together and waited for until their own end, 11.5 s later. Revisions of peers do not help where all are lost.

Fix: a poll waits for at most 2.2 s and 1 s for its answer, so that it is replaced before the instance counts as in touch. The list of instances is polled for 10 s as before; all tables are polled again once calls of one succeed. Waits vary, so that polls of a fleet do not share one moment. What peers have is compared in decisions/peer_revisions.py.

--- a/src/currantspur/platform/store.py
+++ b/src/currantspur/platform/store.py
@@ -38,7 +38,7 @@
 # slower.
 CALL_TIMEOUT_S = 1.5
 # Time for the response to arrive after the wait of a long poll.
-LONG_POLL_MARGIN_S = 1.5
+LONG_POLL_MARGIN_S = 1.0
 KEEPALIVE_TIMEOUT_S = 20.0
 
 
--- a/src/currantspur/table_followers.py
+++ b/src/currantspur/table_followers.py
@@ -23,8 +23,12 @@
     TableFollower,
 )
 from currantspur.tasks.registrar import INSTANCES_TABLE
+from currantspur.tasks.table_follower import LONG_POLL_S
 from currantspur.wire.heartbeats import JsonInstanceCodec
 
+# Heartbeats tell of instances sooner than their table: it is polled less often.
+INSTANCES_LONG_POLL_S = 10.0
+
 
 def make_decoders() -> dict[str, Filter[TableSnapshot, Message]]:
     """Return the decoder of each table."""
@@ -58,6 +62,12 @@
                 journal=journal,
                 random=random,
                 on_era=group.record_era,
+                on_recovery=group.poll_again,
+                direct_long_poll_s=(
+                    INSTANCES_LONG_POLL_S
+                    if table == INSTANCES_TABLE
+                    else LONG_POLL_S
+                ),
             )
         )
 
--- a/src/currantspur/tasks/follower_group.py
+++ b/src/currantspur/tasks/follower_group.py
@@ -52,6 +52,11 @@
         for listener in self.era_listeners:
             listener(era)
 
+    def poll_again(self) -> None:
+        """Replace the polls of all tables, as calls of one succeed again."""
+        for follower in self.by_table.values():
+            follower.poll_again()
+
     def expect_era(self, era: int) -> None:
         """Let all tables be read again that are of an earlier era."""
         for follower in self.by_table.values():
--- a/src/currantspur/tasks/table_follower.py
+++ b/src/currantspur/tasks/table_follower.py
@@ -5,6 +5,11 @@
 from random import Random
 from typing import Any
 
+from currantspur.decisions.peer_revisions import (
+    RELAYED_STALE_AFTER_S,
+    STALE_AFTER_S,
+    PeerRevisions,
+)
 from currantspur.decisions.store_outage import StoreOutage
 from currantspur.errors import HistoryLostError, StoreAwayError
 from currantspur.messages import Message, TableConfirmation, TableSnapshot
@@ -17,17 +22,13 @@
 from currantspur.tasks.mailbox import Mailbox
 from currantspur.tasks.ports import Store
 
-# A long poll returns without changes after this time. Silent connections are
-# found sooner, by keep-alive probes and by the revisions of peers.
-LONG_POLL_S = 10.0
+# A long poll returns without changes after this time. A store that was silent
+# never answers the polls that it received meanwhile, nor those whose answer was
+# due: with the margin of its client, this bounds how long they are waited for.
+LONG_POLL_S = 2.2
 # Of relays that read the store: with BATCH_DELAY_S and a slow store, less than
 # the age from which their readers ask the store themselves.
 RELAY_LONG_POLL_S = 0.8
-# Peers learn of a change at about the same time; a follower that still lacks it
-# after this time asks again by a new call.
-STALE_AFTER_S = 0.4
-# A change passes up to two relays, each of which may delay it by BATCH_DELAY_S.
-RELAYED_STALE_AFTER_S = 0.9
 # A source that has a change answers a poll at once. While that is what matters,
 # or whether the source answers at all, it is asked no longer than this.
 SHORT_POLL_S = 0.2
@@ -35,6 +36,9 @@
 # time. It is less than STALE_AFTER_S, and only a tenth of the time that a
 # change may take.
 BATCH_DELAY_S = 0.25
+# Factors of the waits: the polls of a fleet that learns of a change at once
+# must not all meet the same failure of the store.
+JITTER_FACTORS = (0.8, 1.0)
 # Bounds of the backoff, which doubles with each failed call in a row.
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.8
@@ -44,29 +48,32 @@
     """Ignore the era of the store."""
 
 
+def no_recovery_listener() -> None:
+    """Ignore that calls succeed again."""
+
+
 class TableFollower:
     """Follow one table by long polls; published revisions never decrease."""
 
     __slots__ = (
-        'behind_since',
         'call_started_at',
         'clock',
         'confirmed_at',
         'decoder',
+        'direct_long_poll_s',
         'highest_revision',
         'journal',
         'long_poll_s',
-        'newest_peer',
         'newest_row_revision',
         'on_era',
+        'on_recovery',
         'outage_since',
-        'peer_revision',
+        'peers',
         'pending_call',
         'random',
         'revision',
         'row_relay',
         'rows',
-        'stale_after_s',
         'store',
         'store_outage',
         'subscribers',
@@ -85,12 +92,14 @@
         journal: Journal,
         random: Random,
         on_era: Callable[[int], None] = no_listener,
+        on_recovery: Callable[[], None] = no_recovery_listener,
+        direct_long_poll_s: float = LONG_POLL_S,
     ) -> None:
         """Start without rows; the decoder turns snapshots into messages.
 
         Subscribers get these messages. The row relay gets the snapshots
         themselves, for peers. on_era is called with the era of the store when
-        the whole table was read.
+        the whole table was read, on_recovery when calls succeed again.
         """
         self.table = table
         self.store = store
@@ -101,6 +110,7 @@
         self.journal = journal
         self.random = random
         self.on_era = on_era
+        self.on_recovery = on_recovery
         # When the store itself last said that the rows are the newest.
         self.confirmed_at = NEVER
         # Negative where the next call must read the whole table.
@@ -111,12 +121,10 @@
         self.rows: dict[str, bytes] = {}
         self.outage_since: float | None = None
         self.store_outage = StoreOutage()
-        # Newest row revision that any peer has reported.
-        self.peer_revision = -1
-        self.newest_peer = ''
-        self.behind_since: float | None = None
-        self.stale_after_s = STALE_AFTER_S
-        self.long_poll_s = LONG_POLL_S
+        self.peers = PeerRevisions()
+        # Seconds of a long poll where no peers read through this instance.
+        self.direct_long_poll_s = direct_long_poll_s
+        self.long_poll_s = direct_long_poll_s
         self.pending_call: asyncio.Task[RowsResponse] | None = None
         self.call_started_at = clock.now()
 
@@ -151,8 +159,10 @@
         them that their rows are the newest; relays pass that on at once.
         """
         is_first_relay = has_readers and not is_relayed
-        self.long_poll_s = RELAY_LONG_POLL_S if is_first_relay else LONG_POLL_S
-        self.stale_after_s = (
+        self.long_poll_s = (
+            RELAY_LONG_POLL_S if is_first_relay else self.direct_long_poll_s
+        )
+        self.peers.stale_after_s = (
             RELAYED_STALE_AFTER_S if is_relayed else STALE_AFTER_S
         )
 
@@ -161,21 +171,13 @@
     ) -> None:
         """Compare the newest row revision of a peer with that of this follower.
 
-        If this one stays behind for longer than `stale_after_s`, and its call
-        began before it was, cancel the call and ask the peer instead.
+        If this one stays behind for long, and its call began before it was,
+        cancel the call and ask the peer instead.
         """
-        if peer_newest_row_revision > self.peer_revision:
-            self.peer_revision = peer_newest_row_revision
-            self.newest_peer = peer
-        if not self.is_behind:
-            self.behind_since = None
-            return
-        if self.behind_since is None:
-            self.behind_since = at
-        # A call that began later may be in the middle of a long transfer.
-        is_stale_call = self.call_started_at <= self.behind_since
-        is_late = at - self.behind_since > self.stale_after_s
-        if is_late and is_stale_call and self.pending_call is not None:
+        self.peers.record(peer_newest_row_revision, peer=peer)
+        self.peers.update(at, is_behind=self.is_behind)
+        is_stale = self.peers.is_stale_call(self.call_started_at, at)
+        if is_stale and self.pending_call is not None:
             self._change_source()
             self.pending_call.cancel()
 
@@ -185,11 +187,19 @@
         Another table or a peer has seen it; a long poll would not tell.
         """
         first_revision = make_revision(era=era, version=0)
-        if first_revision <= self.peer_revision:
+        if first_revision <= self.peers.newest:
             return
-        self.peer_revision = first_revision
+        self.peers.newest = first_revision
         if self.is_behind and self.pending_call is not None:
-            self.behind_since = self.clock.now()
+            self.peers.behind_since = self.clock.now()
+            self.pending_call.cancel()
+
+    def poll_again(self) -> None:
+        """Replace a poll, as calls of that time may stay unanswered.
+
+        A call that reads the whole table is known to be lost soon enough.
+        """
+        if self.revision >= 0 and self.pending_call is not None:
             self.pending_call.cancel()
 
     @property
@@ -197,17 +207,17 @@
         """Whether a peer has newer rows than this follower has read."""
         # Rows read at a later revision contain the change, removals too.
         newest = max(self.revision, self.newest_row_revision)
-        return self.revision >= 0 and newest < self.peer_revision
+        return self.revision >= 0 and newest < self.peers.newest
 
     def _change_source(self) -> None:
         self.journal.note(
             'source_behind',
             table=self.table,
             known=get_version(self.newest_row_revision),
-            newest=get_version(self.peer_revision),
-            peer=self.newest_peer,
+            newest=get_version(self.peers.newest),
+            peer=self.peers.peer,
         )
-        self.store.report_stale(self.table, better_source=self.newest_peer)
+        self.store.report_stale(self.table, better_source=self.peers.peer)
 
     async def _poll_once(self) -> None:
         if self.revision < 0:
@@ -215,21 +225,23 @@
             if response is not None:
                 self._replace(response)
             return
-        is_behind = self.behind_since is not None and self.is_behind
+        is_behind = self.peers.behind_since is not None and self.is_behind
         # The end of an outage must not be taken from the next change.
         is_short = is_behind or self.outage_since is not None
         response = await self._wait_for_call(
             self.store.poll_changes(
                 self.table,
                 after=self.revision,
-                wait_s=SHORT_POLL_S if is_short else self.long_poll_s,
+                wait_s=SHORT_POLL_S
+                if is_short
+                else _vary(self.long_poll_s, self.random),
             )
         )
         if response is None:
             return
         self._merge(response)
         if response.rows_by_key:
-            await self.clock.sleep(BATCH_DELAY_S)
+            await self.clock.sleep(_vary(BATCH_DELAY_S, self.random))
         elif is_behind and self.is_behind:
             self._change_source()
 
@@ -267,7 +279,14 @@
             raise StoreAwayError('the response is older than the known rows')
         known_era = get_era(self.highest_revision)
         if 0 <= known_era < get_era(response.revision):
-            self._log_new_era(response.revision)
+            # The store came back from a copy.
+            self.journal.note(
+                'store_restored',
+                table=self.table,
+                era=get_era(response.revision),
+                revision=get_version(response.revision),
+                known=get_version(self.highest_revision),
+            )
         self.rows = dict(_existing_rows(response))
         self.revision = response.revision
         self.highest_revision = response.revision
@@ -277,16 +296,6 @@
         self.on_era(get_era(response.revision))
         self._publish()
 
-    def _log_new_era(self, revision: int) -> None:
-        """Log that the store came back from a copy."""
-        self.journal.note(
-            'store_restored',
-            table=self.table,
-            era=get_era(revision),
-            revision=get_version(revision),
-            known=get_version(self.highest_revision),
-        )
-
     def _merge(self, response: RowsResponse) -> None:
         if response.revision < self.revision:
             return
@@ -338,9 +347,14 @@
         )
         self.outage_since = None
         self.store_outage.record_end(now)
+        self.on_recovery()
 
 
 def _existing_rows(response: RowsResponse) -> Iterator[tuple[str, bytes]]:
     for key, value in response.rows_by_key.items():
         if value is not None:
             yield key, value
+
+
+def _vary(longest_s: float, random: Random) -> float:
+    return longest_s * random.uniform(*JITTER_FACTORS)
