Let a region that the store refuses read changes from others

Seen by the review, without a case: while the store refuses all instances of a region they keep the old configuration, though heartbeats of other regions tell them of a newer one.

Cause: a follower asks the peer with newer rows only if its call began before it was behind. Calls that fail at once begin anew all the time.

Fix: a call that fails while the follower is behind makes it ask that peer next; while calls fail, the peer heard last is taken.

--- a/src/currantspur/decisions/peer_revisions.py
+++ b/src/currantspur/decisions/peer_revisions.py
@@ -20,9 +20,14 @@
         self.behind_since: float | None = None
         self.stale_after_s = STALE_AFTER_S
 
-    def record(self, revision: int, *, peer: str) -> None:
-        """Record what a peer reports."""
-        if revision > self.newest:
+    def record(self, revision: int, *, peer: str, is_outage: bool) -> None:
+        """Record what a peer reports.
+
+        While calls fail, the peer heard last is the one to ask: the first that
+        had the revision may be out of reach too.
+        """
+        is_newer = revision > self.newest
+        if is_newer or (is_outage and revision == self.newest):
             self.newest = revision
             self.peer = peer
 
--- a/src/currantspur/tasks/table_follower.py
+++ b/src/currantspur/tasks/table_follower.py
@@ -174,7 +174,11 @@
         If this one stays behind for long, and its call began before it was,
         cancel the call and ask the peer instead.
         """
-        self.peers.record(peer_newest_row_revision, peer=peer)
+        self.peers.record(
+            peer_newest_row_revision,
+            peer=peer,
+            is_outage=self.outage_since is not None,
+        )
         self.peers.update(at, is_behind=self.is_behind)
         is_stale = self.peers.is_stale_call(self.call_started_at, at)
         if is_stale and self.pending_call is not None:
@@ -328,6 +332,9 @@
                 subscriber.post(message)
 
     def _record_outage(self, error: StoreAwayError) -> None:
+        if self.peers.behind_since is not None and self.is_behind:
+            # Calls that fail at once are never found stale.
+            self._change_source()
         if self.outage_since is None:
             self.outage_since = self.clock.now()
             self.journal.note(
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -31,6 +31,10 @@
 # An instance is in touch so long after the end of a silence.
 CONTACT_S = 4.0
 LONGEST_SILENCE_S = 4.5
+# A region that the store refuses learns of a change by heartbeats of others.
+REFUSED_APPLY_S = APPLY_S + (
+    HEARTBEAT_INTERVAL_S * max(JITTER_FACTORS) * CROSS_REGION_HEARTBEAT_EVERY
+)
 # The moments of changes, in seconds after the end of a silence.
 CHANGES_AFTER_S = (0.3, 4.0, 4.1, 7.0, 12.0)
 # Zones, and the instances in each.
@@ -182,6 +186,18 @@
         store.restore()
 
 
+async def turn_away(fleet, *, region, for_s):
+    """Let the store refuse all instances of a region while changes are made."""
+    refused = [node for node in fleet.nodes if node.instance.region == region]
+    for node in refused:
+        node.lost.set()
+    for _ in range(int(for_s)):
+        fleet.store.change(now())
+        await asyncio.sleep(1.0)
+    for node in refused:
+        node.lost.clear()
+
+
 OFFSETS_S = (-0.5, 0.0, 0.1, 0.3, 0.6, 2.0)
 SILENCES_S = (0.3, 1.0, 2.0, LONGEST_SILENCE_S)
 SILENCES = [
@@ -212,3 +228,19 @@
 def test_change_after_any_silence_is_in_force(size, for_s, offset_s):
     disturb = partial(fall_silent, offset_s=offset_s, for_s=for_s)
     assert not run_virtual(watch(size, disturb))
+
+
+# Guards against changes that a region misses while the store refuses all of its
+# instances, though peers elsewhere tell of them.
+@pytest.mark.parametrize('for_s', [3.0, 9.0, 20.0])
+@pytest.mark.parametrize('size', [8, 12, 15])
+def test_region_turned_away_learns_from_others(size, for_s):
+    late = run_virtual(
+        watch(
+            size,
+            partial(turn_away, region='b', for_s=for_s),
+            in_touch_at=0.0,
+            apply_s=REFUSED_APPLY_S,
+        )
+    )
+    assert not late
