Take statuses of 600 and more for no answer

Callers do not get that: 000 to 199 were no answer already. They did get 600 to 999, if no other target answered in place of the one in trouble.

RFC 9110 (15) calls statuses outside 100 to 599 invalid and has clients take them for a 5xx. find_head_fault, which decides what is a final response for streamed, buffered and repeated requests, rejects them: the caller gets the answer of another target, or 502.

The former test held that 999 is passed on; it now asks for 502.

--- a/src/currantspur/wire/response_heads.py
+++ b/src/currantspur/wire/response_heads.py
@@ -13,6 +13,8 @@
 
 from currantspur.encoding import is_utf8
 
+# The highest valid status (RFC 9110, 15).
+MAX_STATUS: Final = 599
 # The HTTP client library accepts these in names and values of headers, the
 # server library refuses to write them (RFC 9110, 5.5).
 _CONTROL_CHARACTERS: Final = re.compile(r'[\x00-\x08\x0a-\x1f\x7f]')
@@ -22,9 +24,10 @@
     status: int, headers: Iterable[tuple[str, str]]
 ) -> str | None:
     """Return why a head is not one of a final response; None if it is."""
-    if status < HTTPStatus.OK:
+    if not HTTPStatus.OK <= status <= MAX_STATUS:
         # No request asks for an upgrade, and other interim responses are
-        # skipped by the client library.
+        # skipped by the client library. Statuses outside 100 to 599 are
+        # invalid.
         return f'status {status} is not final'
     for name, text in headers:
         if _CONTROL_CHARACTERS.search(name + text):
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -250,29 +250,33 @@
             assert status in {502, 204} or received == SHORT_BODY, odd
 
 
-# A status below 200 would make the caller wait for another response.
+# Guards against a status that is none of a final response, such as 000: the
+# caller would wait for another response, or have to guess what happened.
 @pytest.mark.parametrize('body', [SHORT_BODY, LONG_BODY], ids=len)
-@pytest.mark.parametrize('status', [0, 7, 20, 99, 101, 200, 299, 599, 999])
+@pytest.mark.parametrize('status', [0, 7, 20, 99, 101, 200, 299, 599, 600, 999])
 async def test_status_that_is_not_final_is_no_answer(status, body):
     status_line = f'HTTP/1.1 {status:03d} Odd\r\n'.encode()
     async with open_caller() as caller:
         received, _, _ = await caller.ask(
             encode_answer(body=body, status_line=status_line)
         )
-    expected = 502 if status < 200 else status
+    expected = status if 200 <= status <= 599 else 502
     assert received == expected
 
 
 class Answering(Behaviour):
-    """Execute each request and answer with given lines in the head."""
+    """Execute each request and answer with a given status line and others."""
 
-    def __init__(self, lines):
+    def __init__(self, lines=b'', status_line=STATUS_LINE):
         self.lines = lines
+        self.status_line = status_line
 
     async def respond(self, target, request):
         await target.execute(request)
         request_id = request.headers['x-request-id'].encode()
-        answer = encode_answer(body=RESPONSE_BODY, lines=self.lines)
+        answer = encode_answer(
+            body=RESPONSE_BODY, lines=self.lines, status_line=self.status_line
+        )
         request.writer.write(answer.replace(b'{id}', request_id))
         return True
 
@@ -315,6 +319,21 @@
             assert status == 200
 
 
+# Guards against a head that is none of a final response and reaches the caller,
+# or keeps a request that may run again from another target.
+@pytest.mark.parametrize(
+    'answering',
+    [
+        pytest.param(Answering(SPOILED_LINE), id='control character'),
+        *(
+            pytest.param(
+                Answering(status_line=f'HTTP/1.1 {status} Odd\r\n'.encode()),
+                id=status,
+            )
+            for status in ('000', '099', '101', '600', '999')
+        ),
+    ],
+)
 @pytest.mark.parametrize(
     ('prefix', 'sound_targets', 'status'),
     [
@@ -324,9 +343,11 @@
         (NON_IDEMPOTENT_PREFIX, 0, 502),
     ],
 )
-async def test_spoiled_head_is_no_answer(prefix, sound_targets, status):
+async def test_spoiled_head_is_no_answer(
+    prefix, sound_targets, status, answering
+):
     async with open_fleet(targets=('north-1',) * sound_targets) as (fleet, _):
-        await fleet.open_target('spoiling', 'north-1', Answering(SPOILED_LINE))
+        await fleet.open_target('spoiling', 'north-1', answering)
         await asyncio.sleep(0.2)
         daemon = first_value(fleet.daemons)
         reader, writer = await asyncio.open_connection(
