Accept IPv6 addresses in brackets only

Cause: is_address took what stands before the last colon for the host. Without brackets no URL can be made of it, and that error was met when the request was sent, before any target was asked.

Fix: an address passes if it is one in a URL: IPv6 in brackets, IPv4 without, no zone.

--- a/src/currantspur/settings/document.py
+++ b/src/currantspur/settings/document.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Iterable, Iterator
-from ipaddress import ip_address
+from ipaddress import IPv6Address, ip_address
 from itertools import chain
 from typing import TypeVar
 
@@ -189,15 +189,20 @@
 
 
 def is_address(text: str) -> bool:
-    """Return whether a text is an IP address, a colon and a port above 0."""
+    """Return whether a text is an IP address, a colon and a port above 0.
+
+    As in a URL, IPv6 addresses are in brackets; they have no zone.
+    """
     host, separator, port = text.rpartition(':')
     if not separator or not text.isascii() or not _is_port(port):
         return False
+    has_brackets = host.startswith('[') and host.endswith(']')
     try:
-        ip_address(host.strip('[]'))
+        address = ip_address(host[1:-1] if has_brackets else host)
     except ValueError:
         return False
-    return True
+    is_ipv6 = isinstance(address, IPv6Address)
+    return has_brackets == is_ipv6 and '%' not in host
 
 
 def _is_port(text: str) -> bool:
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -1,11 +1,17 @@
 """Odd entries of another writer among the rows of targets and instances."""
 
+import asyncio
+
 import orjson
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from yarl import URL
 
 from currantspur.errors import MalformedRowError
 from currantspur.platform.rows import decode_target
-from currantspur.standins.fleet import wait_until
+from currantspur.settings import is_address, split_address
+from currantspur.standins.fleet import IDEMPOTENT_PREFIX, wait_until
 from currantspur.wire.heartbeats import JsonInstanceCodec
 from tests.fleets import first_value, open_fleet, send_request
 from tests.test_rows import TARGET_ROW
@@ -31,8 +37,20 @@
     '10.0.0.9/x:80',
     'host.example:80',
     ':80',
+    # Addresses of IPv6 are in brackets, those of IPv4 are not.
+    '::1:8080',
+    'fe80::1%eth0:80',
+    '[fe80::1%eth0]:80',
+    '[::1:80',
+    '::1]:80',
+    '[[::1]]:80',
+    '[10.0.0.9]:80',
     '10.0.0.9:80\r\nX-Odd: 1',
 )
+LOOPBACKS = ('127.0.0.1:1', '[::1]:65535')
+# A changed row is in use within this time.
+SETTLE_S = 0.6
+REQUESTS = 20
 ODD_FIELDS = (
     *({'address': address} for address in ODD_ADDRESSES),
     {'capacity_slots': 2**63},
@@ -117,3 +135,26 @@
             )
             assert status == 200
         assert late.received
+
+
+# Guards against an address that passes as one but names no host in a URL: its
+# target is used, and each request to it fails without a second attempt.
+@given(st.text('0123456789abf:.[]%', max_size=24) | st.sampled_from(LOOPBACKS))
+def test_address_names_its_host_in_a_url(text):
+    if is_address(text):
+        host, port = split_address(text)
+        url = URL.build(scheme='http', authority=text, path='/', encoded=True)
+        assert (url.raw_host, url.explicit_port) == (host, port)
+
+
+async def test_row_with_odd_address_costs_no_request():
+    async with open_fleet() as (fleet, session):
+        await fleet.open_target('odd', 'north-1')
+        fleet.register_target('odd', 'north-1', address='::1:8080')
+        await asyncio.sleep(SETTLE_S)
+        daemon = first_value(fleet.daemons)
+        for number in range(REQUESTS):
+            path = f'{IDEMPOTENT_PREFIX}{number}'
+            status, _, _ = await send_request(session, daemon, path)
+            assert status == 200
+        assert not fleet.targets['odd'].executed_request_ids
