Take only chunks and lengths for the framing of a body

Cause: any Transfer-Encoding counted as framing, so that the check of how the connection ended was left out. Only chunked delimits a body.

Fix: a body is framed if its last coding is chunked, or if it has a length and no coding; any other must not end with a reset.

--- a/src/currantspur/wire/response_bodies.py
+++ b/src/currantspur/wire/response_bodies.py
@@ -7,6 +7,8 @@
 
 from currantspur.wire.names import CONTENT_LENGTH
 
+TRANSFER_ENCODING = 'Transfer-Encoding'
+
 CHUNK_BYTES = 65_536
 
 
@@ -40,5 +42,9 @@
 
 
 def _is_framed(response: aiohttp.ClientResponse) -> bool:
-    headers = response.headers
-    return 'Transfer-Encoding' in headers or CONTENT_LENGTH in headers
+    """Tell whether chunks or a length delimit the body (RFC 9112, 6.3)."""
+    codings = response.headers.getall(TRANSFER_ENCODING, ())
+    if codings:
+        last = codings[-1].rpartition(',')[2]
+        return last.strip().lower() == 'chunked'
+    return CONTENT_LENGTH in response.headers
--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import resource
+import socket
+import struct
 
 import pytest
 
@@ -32,6 +34,8 @@
     b'X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
 )
 LONG_BODY = b'x' * 700_000
+# All bytes that a target sent have arrived after this time.
+RECEIVED_AFTER_S = 0.2
 
 
 both_connections = pytest.mark.parametrize('is_single_use', [False, True])
@@ -103,6 +107,40 @@
         assert caught.value.may_have_run
 
 
+def reset(writer):
+    """Close a connection by a reset."""
+    writer.get_extra_info('socket').setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    writer.transport.abort()
+
+
+def frame(coding):
+    return join(HEAD, b'Transfer-Encoding: ', coding, b'\r\n\r\n')
+
+
+UNFRAMED_HEADS = [
+    NO_LENGTH,
+    *map(frame, (b'identity', b'Identity', b'gzip', b'chunked, gzip')),
+]
+
+
+# Guards against a part of an answer that passes for the whole one, as a reset
+# ended a body which only the end of the connection delimits.
+@both_connections
+@pytest.mark.parametrize('head', UNFRAMED_HEADS)
+@pytest.mark.parametrize('body', [b'half', LONG_BODY], ids=len)
+async def test_reset_body_is_not_whole(head, body, is_single_use):
+    async with Playback(join(head, body)) as playback:
+        ask = asyncio.ensure_future(playback.ask(is_single_use=is_single_use))
+        await wait_until(lambda: playback.target.received)
+        await asyncio.sleep(RECEIVED_AFTER_S)
+        reset(playback.target.writers[0])
+        with pytest.raises(TargetError) as caught:
+            await ask
+    assert caught.value.may_have_run
+
+
 @both_connections
 @pytest.mark.parametrize(
     ('answer', 'error_type', 'may_have_run'),
