Guard answers whose chunks break after the head

The client raises TargetError here in all 16 cases, short and streamed, before any change, so nothing is mended; the test keeps it so.

--- a/tests/test_target_answers.py
+++ b/tests/test_target_answers.py
@@ -141,6 +141,25 @@
     assert caught.value.may_have_run
 
 
+# Guards against framing that breaks after the head and is no answer, but an
+# error of the instance: the request then gets 500, and no other target.
+@both_connections
+@pytest.mark.parametrize(
+    'chunks', [b'zz\r\n', b'4\r\nbodyX', b'4\r\nbody\r\n-1\r\n', b'\x00']
+)
+@pytest.mark.parametrize('body', [b'', LONG_BODY], ids=len)
+async def test_broken_chunk_is_no_answer(body, chunks, is_single_use):
+    first = b'%x\r\n%b\r\n' % (len(body), body) if body else b''
+    async with Playback(join(CHUNKED, first)) as playback:
+        ask = asyncio.ensure_future(playback.ask(is_single_use=is_single_use))
+        await wait_until(lambda: playback.target.received)
+        await asyncio.sleep(RECEIVED_AFTER_S)
+        playback.target.writers[0].write(chunks)
+        with pytest.raises(TargetError) as caught:
+            await ask
+    assert caught.value.may_have_run
+
+
 @both_connections
 @pytest.mark.parametrize(
     ('answer', 'error_type', 'may_have_run'),
